--- a/src/main/java/gatefront/Main.java
+++ b/src/main/java/gatefront/Main.java
@@ -5,13 +5,16 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import gatefront.drill.Drill;
 import gatefront.drill.WireException;
+import gatefront.net.Agent;
 
 /** The command line of the jar. */
 public final class Main {
     static final String USAGE = """
-        usage: java -jar gatefront.jar drill
+        usage: java -jar gatefront.jar serve|drill
+          serve    run as an agent, as the configuration in $RELAY_CONFIG says
           drill    decide for the simulator: frames on standard input, replies on standard output
           --help   show this text""";
 
@@ -27,10 +30,13 @@
             out.println(USAGE);
             return 0;
         }
-        if (args.length != 1 || !args[0].equals("drill")) {
+        if (args.length != 1 || !args[0].equals("drill") && !args[0].equals("serve")) {
             err.println(USAGE);
             return 2;
         }
+        if (args[0].equals("serve")) {
+            return serve(System.getenv("RELAY_CONFIG"), err);
+        }
         try {
             new Drill(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
             return 0;
@@ -39,4 +45,25 @@
             return 1;
         }
     }
+
+    /** Runs an agent until the process is asked to end. */
+    static int serve(String config, PrintStream err) {
+        Agent agent;
+        try {
+            if (config == null) {
+                throw new IllegalArgumentException("RELAY_CONFIG is not set");
+            }
+            agent = Agent.start(Path.of(config));
+        } catch (IOException | IllegalArgumentException e) {
+            err.println("gatefront: " + e.getMessage());
+            return 1;
+        }
+        // SIGTERM runs the hooks: the agent ends in order, and that is no failure.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            agent.stop();
+            Runtime.getRuntime().halt(0);
+        }));
+        agent.awaitEnd();
+        return 0;
+    }
 }
--- a/src/main/java/gatefront/drill/SettingsParser.java
+++ b/src/main/java/gatefront/SettingsParser.java
@@ -1,35 +1,54 @@
-package gatefront.drill;
+package gatefront;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import gatefront.Balancer;
 import gatefront.Balancer.LoadField;
 import gatefront.Balancer.Scope;
 import gatefront.Balancer.Semantics;
 
-/** Turns the wire's settings text into the module's settings. Keys it does not know are skipped. */
-final class SettingsParser {
+/** Turns path=value settings into the module's settings. Keys it does not know are skipped. */
+public final class SettingsParser {
     private static final Map<String, LoadField> LOAD_FIELDS = Map.of(
         "concurrent", LoadField.IN_FLIGHT, "depth", LoadField.QUEUED, "load_share", LoadField.CPU_SHARE,
         "mean_ms", LoadField.MEAN_MILLIS, "tps", LoadField.SERVED_PER_SECOND,
         "err_ps", LoadField.ERRORS_PER_SECOND);
 
-    private final Map<String, String> pairs = new HashMap<>();
+    private final Map<String, String> pairs;
 
-    private SettingsParser(String text) {
+    private SettingsParser(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /**
+     * Reads the wire's settings text.
+     *
+     * @param text a path=value pair a line
+     * @return the settings
+     * @throws IllegalArgumentException if a value is missing or unusable; the message names it
+     */
+    public static Balancer.Settings parse(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int equals = line.indexOf('=');
             if (equals > 0) {
                 pairs.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
             }
         }
+        return parse(pairs);
     }
 
-    static Balancer.Settings parse(String text) {
-        return new SettingsParser(text).settings();
+    /**
+     * Reads settings already taken apart.
+     *
+     * @param pairs values by their paths
+     * @return the settings
+     * @throws IllegalArgumentException if a value is missing or unusable; the message names it
+     */
+    public static Balancer.Settings parse(Map<String, String> pairs) {
+        return new SettingsParser(pairs).settings();
     }
 
     private Balancer.Settings settings() {
@@ -120,7 +139,7 @@
     private String need(String key) {
         String value = pairs.get(key);
         if (value == null) {
-            throw new WireException("settings: " + key + " is missing");
+            throw new IllegalArgumentException("settings: " + key + " is missing");
         }
         return value;
     }
@@ -170,7 +189,7 @@
         }
     }
 
-    private WireException bad(String key) {
-        return new WireException("settings: " + key + " has an unusable value: " + pairs.get(key));
+    private IllegalArgumentException bad(String key) {
+        return new IllegalArgumentException("settings: " + key + " has an unusable value: " + pairs.get(key));
     }
 }
--- a/src/main/java/gatefront/drill/Drill.java
+++ b/src/main/java/gatefront/drill/Drill.java
@@ -12,6 +12,7 @@
 import gatefront.Balancer.Outcome;
 import gatefront.Balancer.Phase;
 import gatefront.Rules;
+import gatefront.SettingsParser;
 
 /** Speaks the simulator's wire for many instances. It decides nothing. */
 public final class Drill {
@@ -54,7 +55,7 @@
         out.instance(id);
         if (code == 24) {
             long seed = in.i64();
-            Balancer.Settings settings = SettingsParser.parse(in.text(in.u32()));
+            Balancer.Settings settings = settings(in.text(in.u32()));
             decide(() -> instances.put(id, new Rules(settings, seed, now, out)));
             return;
         }
@@ -69,6 +70,14 @@
         decide(() -> event(code, instance, now));
     }
 
+    private static Balancer.Settings settings(String text) {
+        try {
+            return SettingsParser.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new WireException(e.getMessage());
+        }
+    }
+
     /** Runs a piece of the decision code; its failure is told as the instance's death. */
     private void decide(Runnable decision) {
         try {
--- /dev/null
+++ b/src/main/java/gatefront/net/Agent.java
@@ -0,0 +1,374 @@
+package gatefront.net;
+
+import gatefront.Balancer;
+import gatefront.Rules;
+import gatefront.net.ClientServer.Exchange;
+import gatefront.net.ClientServer.Incoming;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Hosts the decision module on real sockets: the one place where events enter it, and where its actions
+ * become bytes. One event loop thread owns the sockets, the timers and the module.
+ */
+public final class Agent implements Balancer.Actions {
+    /** Of the client's time, what the answer's way back and a late wake-up may take. */
+    private static final long MARGIN_MICROS = 10_000;
+    /** Descriptors kept back for the program's own files, discovery and the listener. */
+    private static final int SOCKETS_RESERVED = 64;
+    /** How long new connections are still taken after the end was asked for. */
+    private static final long LINGER_MS = 500;
+    /** How long the first list is waited for before the known one has to do. */
+    private static final long FIRST_LIST_MS = 1_000;
+    private static final Pattern SERVER = Pattern.compile("^server (-?\\d+)");
+
+    private final Config config;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Balancer balancer;
+    private final Backends backends;
+    private final Discovery discovery;
+    private final ClientServer clients;
+    private final Map<Long, Pending> open = new HashMap<>();
+    private final Map<Exchange, Pending> byExchange = new HashMap<>();
+    private final Map<Long, String> names = new HashMap<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
+    private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
+    private long nextId = 1;
+    private boolean deciding;
+    private boolean ready;
+    private boolean draining;
+
+    /** A request taken and not yet done with. */
+    private static final class Pending {
+        final long id;
+        final Incoming request;
+        final Exchange exchange;
+        final List<Backends.Attempt> attempts = new ArrayList<>(1);
+        int out;
+        boolean answered;
+        Future<?> guard;
+
+        Pending(long id, Incoming request, Exchange exchange) {
+            this.id = id;
+            this.request = request;
+            this.exchange = exchange;
+        }
+    }
+
+    private Agent(Config config) throws IOException {
+        this.config = config;
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        int each = (config.sockets() - SOCKETS_RESERVED) / 2;
+        balancer = new Rules(config.settings(), config.seed(), now(), this);
+        backends = new Backends(loop, config, each);
+        discovery = new Discovery(loop, config, new Discovery.Listener() {
+            @Override
+            public void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
+                ready = true;
+                Agent.this.list(kind, endpoints);
+            }
+
+            @Override
+            public void failed(String why) {
+                log("discovery: " + why);
+                if (config.settings().askDiscovery()) {
+                    event(() -> balancer.servers(now(), Balancer.ListKind.FAILED, List.of()));
+                }
+            }
+        });
+        clients = new ClientServer(loop, config, each, () -> ready, new ClientServer.Listener() {
+            @Override
+            public void request(Incoming request, Exchange exchange) {
+                Agent.this.request(request, exchange);
+            }
+
+            @Override
+            public void clientLeft(Exchange exchange) {
+                Agent.this.clientLeft(exchange);
+            }
+        });
+    }
+
+    /**
+     * Starts an agent; it listens when this returns.
+     *
+     * @param config its configuration file
+     * @return the running agent
+     * @throws IllegalArgumentException if the configuration is unusable; the message is one plain line
+     * @throws IOException if the address cannot be listened on
+     */
+    public static Agent start(Path config) throws IOException {
+        return start(Config.read(config));
+    }
+
+    static Agent start(Config config) throws IOException {
+        Agent agent = new Agent(config);
+        agent.loop.execute(agent::begin);
+        InetSocketAddress at = agent.address();
+        say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
+        return agent;
+    }
+
+    private void begin() {
+        Discovery.Listing known;
+        try {
+            known = Discovery.decode(config.known(), config);
+        } catch (IllegalArgumentException e) {
+            log("known list: " + e.getMessage());
+            known = new Discovery.Listing(0, true, List.of());
+        }
+        list(Balancer.ListKind.CACHED, known.endpoints());
+        if (!config.settings().askDiscovery()) {
+            discovery.watch();
+        }
+        loop.schedule(() -> ready = true, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Where it listens. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) clients.channel().localAddress();
+    }
+
+    /** Ends in order: goes on for a moment, then finishes what it holds. Returns when all is done. */
+    public void stop() {
+        loop.execute(() -> {
+            draining = true;
+            clients.drain();
+            loop.schedule(() -> {
+                clients.stopListening();
+                draining();
+            }, LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+        awaitEnd();
+    }
+
+    private void draining() {
+        if (open.values().stream().allMatch(each -> each.answered)) {
+            discovery.close();
+            group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
+        } else {
+            loop.schedule(this::draining, 10, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Waits until the agent has ended. */
+    public void awaitEnd() {
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private long now() {
+        return anchorMicros + System.nanoTime() / 1000;
+    }
+
+    // ---- Events ----
+
+    /** Lets an event into the module. One that arises inside another waits its turn on the loop. */
+    private void event(Runnable event) {
+        if (deciding) {
+            loop.execute(() -> event(event));
+            return;
+        }
+        deciding = true;
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            log("module: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+        } finally {
+            deciding = false;
+        }
+    }
+
+    private void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
+        Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA ? Set.of() : names.keySet());
+        for (Discovery.Endpoint endpoint : endpoints) {
+            long id = endpoint.server().id();
+            gone.remove(id);
+            names.put(id, endpoint.name());
+            backends.listed(endpoint);
+        }
+        gone.forEach(backends::gone);
+        List<Balancer.Server> entries = endpoints.stream().map(Discovery.Endpoint::server).toList();
+        event(() -> balancer.servers(now(), kind, entries));
+    }
+
+    private void request(Incoming incoming, Exchange exchange) {
+        long id = nextId++;
+        Pending pending = new Pending(id, incoming, exchange);
+        open.put(id, pending);
+        byExchange.put(exchange, pending);
+        long left = Math.max(0, 1000 * incoming.timeoutMs() - MARGIN_MICROS);
+        pending.guard = loop.schedule(() -> overdue(pending), left, TimeUnit.MICROSECONDS);
+        long deadline = now() + left;
+        Balancer.Request request = new Balancer.Request(id, incoming.requestClass(), incoming.tenant(),
+            incoming.key(), incoming.hint(), deadline, incoming.repeated(), false);
+        event(() -> balancer.request(now(), request));
+    }
+
+    /** Guards against a request that the module has lost, by a fault of its own: it is failed in time. */
+    private void overdue(Pending pending) {
+        if (!pending.answered) {
+            log("request overdue");
+            answer(pending, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
+            event(() -> balancer.clientLeft(now(), pending.id));
+            abandon(pending);
+        }
+    }
+
+    private void clientLeft(Exchange exchange) {
+        Pending pending = byExchange.get(exchange);
+        if (pending != null && !pending.answered) {
+            answered(pending);
+            event(() -> balancer.clientLeft(now(), pending.id));
+            abandon(pending);
+        }
+    }
+
+    /** Ends the attempts that outlive their client, where the module has left them. */
+    private void abandon(Pending pending) {
+        pending.attempts.forEach(Backends.Attempt::cancel);
+    }
+
+    private void outcome(Pending pending, int attempt, long server, long sentAt, Backends.Result result) {
+        pending.out--;
+        boolean first = !pending.answered;
+        if (result.body() != null && first) {
+            pending.exchange.answer(HttpResponseStatus.OK, result.body(), result.contentType(), 0);
+            answered(pending);
+        } else if (result.body() != null) {
+            result.body().release();
+        }
+        forget(pending);
+        event(() -> balancer.outcome(now(), pending.id, attempt, server, result.outcome(), now() - sentAt,
+            pending.answered, result.load()));
+    }
+
+    private void answer(Pending pending, HttpResponseStatus status, long retryAfter) {
+        if (!pending.answered) {
+            pending.exchange.answer(status, Unpooled.EMPTY_BUFFER, null, retryAfter);
+            answered(pending);
+        }
+    }
+
+    private void answered(Pending pending) {
+        pending.answered = true;
+        pending.guard.cancel(false);
+        byExchange.remove(pending.exchange);
+        forget(pending);
+    }
+
+    private void forget(Pending pending) {
+        if (pending.answered && pending.out == 0 && open.remove(pending.id) != null) {
+            pending.request.forward().body().release();
+        }
+    }
+
+    // ---- Actions ----
+
+    @Override
+    public void send(long request, long server, long timeout) {
+        Pending pending = open.get(request);
+        if (pending == null || pending.answered) {
+            return;
+        }
+        int attempt = pending.attempts.size();
+        long sentAt = now();
+        pending.out++;
+        pending.attempts.add(backends.send(server, pending.request.forward(), timeout,
+            result -> outcome(pending, attempt, server, sentAt, result)));
+    }
+
+    @Override
+    public void refuse(long request, long retryAfter) {
+        Pending pending = open.get(request);
+        if (pending != null) {
+            answer(pending, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
+        }
+    }
+
+    @Override
+    public void fail(long request) {
+        Pending pending = open.get(request);
+        if (pending != null) {
+            answer(pending, HttpResponseStatus.BAD_GATEWAY, 0);
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Pending pending = open.get(request);
+        if (pending != null && attempt < pending.attempts.size()) {
+            pending.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void probe(long server) {
+        long sentAt = now();
+        backends.probe(server, result -> {
+            if (result.body() != null) {
+                result.body().release();
+            }
+            event(() -> balancer.probed(now(), server, result.outcome(), now() - sentAt, result.load()));
+        });
+    }
+
+    @Override
+    public void tell(int agent, byte[] message) { } // the module sends no messages
+
+    @Override
+    public void timer(long token, long delay) {
+        loop.schedule(() -> event(() -> balancer.timer(now(), token)), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        backends.closeIdle(server);
+    }
+
+    @Override
+    public void watchServers() {
+        loop.execute(() -> discovery.watch());
+    }
+
+    @Override
+    public void fetchServers() {
+        loop.execute(() -> discovery.fetch());
+    }
+
+    @Override
+    public void log(String line) {
+        say(SERVER.matcher(line).replaceFirst(match ->
+            Matcher.quoteReplacement("server " + names.get(Long.valueOf(match.group(1))))));
+    }
+
+    /** One plain line to standard error, which is the agent's log. */
+    static void say(String line) {
+        System.err.println(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/net/Config.java
@@ -0,0 +1,137 @@
+package gatefront.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gatefront.Balancer;
+import gatefront.SettingsParser;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The configuration of one real agent, as read from its JSON file.
+ *
+ * @param listen where the application connects
+ * @param discovery where the server list comes from
+ * @param seed for random choices; new with each start
+ * @param sockets how many file descriptors the process may hold
+ * @param known the server list as this agent last had it, in discovery's form
+ * @param settings what the module is told
+ * @param classes names of the request classes, in the settings' order
+ * @param tenants names of the tenants, in the settings' order
+ * @param zones names of the zones, in the settings' order
+ * @param kinds names of the kinds of machine, in the settings' order
+ * @param loadFields names of the values of a load report, in the settings' order
+ * @param loadByProbe whether only probes bring load reports
+ * @param connectTimeoutMicros a connection not up by then has failed
+ * @param idleCloseMicros a server closes a connection that has been idle for this long
+ */
+record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
+              Balancer.Settings settings, List<String> classes, List<String> tenants, List<String> zones,
+              List<String> kinds, List<String> loadFields, boolean loadByProbe, long connectTimeoutMicros,
+              long idleCloseMicros) {
+
+    /** Reads the file; an unusable one is an exception whose message is one plain line. */
+    static Config read(Path file) {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(Files.readAllBytes(file));
+        } catch (IOException e) {
+            String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new IllegalArgumentException("cannot read " + file + ": " + why, e);
+        }
+        return of(root);
+    }
+
+    static Config of(JsonNode root) {
+        JsonNode settings = need(root, "settings");
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", settings, pairs);
+        return new Config(address(text(root, "listen")), address(text(root, "discovery")),
+            seed(text(root, "seed")), (int) atLeast(64, need(root, "limits"), "sockets"), root.path("known"),
+            SettingsParser.parse(pairs), names(settings.path("classes")), names(settings.path("realms")),
+            names(settings.path("zones")), names(settings.path("kinds")),
+            names(settings.path("load-info").path("fields")),
+            settings.path("load-info").path("via").asText().equals("probe"),
+            atLeast(1000, need(settings, "caps"), "dial-timeout-us"),
+            atLeast(1000, need(settings, "caps"), "idle-close-us"));
+    }
+
+    /** Nested JSON as the path=value pairs of the simulator's first message: one parser serves both. */
+    private static void flatten(String path, JsonNode node, Map<String, String> pairs) {
+        if (node.isObject()) {
+            node.properties().forEach(each ->
+                flatten(path.isEmpty() ? each.getKey() : path + "." + each.getKey(), each.getValue(), pairs));
+        } else if (node.isArray() && node.path(0).isContainerNode()) {
+            pairs.put(path + ".count", String.valueOf(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), pairs);
+            }
+        } else if (node.isArray()) {
+            pairs.put(path, String.join(",", names(node)));
+            if (node.isEmpty()) {
+                pairs.put(path + ".count", "0"); // it may have been meant as a list of objects
+            }
+        } else if (!node.isNull()) {
+            pairs.put(path, node.asText());
+        }
+    }
+
+    /** The words of a list of words, or the names of a list of objects. */
+    private static List<String> names(JsonNode list) {
+        List<String> names = new ArrayList<>();
+        list.forEach(each -> names.add(each.isObject() ? each.path("name").asText() : each.asText()));
+        return List.copyOf(names);
+    }
+
+    private static JsonNode need(JsonNode node, String name) {
+        JsonNode found = node.path(name);
+        if (found.isMissingNode() || found.isNull()) {
+            throw new IllegalArgumentException("config: " + name + " is missing");
+        }
+        return found;
+    }
+
+    private static String text(JsonNode node, String name) {
+        return need(node, name).asText();
+    }
+
+    private static long atLeast(long least, JsonNode node, String name) {
+        JsonNode value = need(node, name);
+        if (!value.isNumber() || value.asLong() < least) {
+            throw new IllegalArgumentException("config: " + name + " has an unusable value: " + value);
+        }
+        return value.asLong();
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("config: seed has an unusable value: " + hex, e);
+        }
+    }
+
+    /** An address as the configuration and discovery write it: a literal one, for there is no DNS. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            if (host != null) {
+                return new InetSocketAddress(InetAddress.getByAddress(host),
+                    Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("unusable address: " + text, e);
+        }
+        throw new IllegalArgumentException("unusable address: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -0,0 +1,262 @@
+package gatefront.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gatefront.Balancer.ListKind;
+import gatefront.Balancer.Phase;
+import gatefront.Balancer.Server;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Follows the server list: the whole list once, then one watch after the other on one connection. All of it
+ * runs on the agent's event loop.
+ */
+final class Discovery {
+    /** What the agent hears. */
+    interface Listener {
+        /** A list has come. */
+        void list(ListKind kind, List<Endpoint> endpoints);
+
+        /** A call has failed; the next is made after the back-off, or when asked for. */
+        void failed(String why);
+    }
+
+    /** A server as discovery lists it: its line for the module, its name, and where this agent reaches it. */
+    record Endpoint(Server server, String name, InetSocketAddress address) { }
+
+    /** A decoded answer. */
+    record Listing(long index, boolean snapshot, List<Endpoint> endpoints) { }
+
+    /** How long a watch waits for news. Short enough that a silent discovery is soon asked again. */
+    private static final long WATCH_MS = 10_000;
+    /** How much longer than its wait a call may take. */
+    private static final long ANSWER_MS = 2_000;
+    private static final long BACKOFF_LEAST_MS = 50;
+    private static final long BACKOFF_MOST_MS = 1_000;
+    /** Before the next watch when one brought nothing: discovery may answer at once, and would be flooded. */
+    private static final long EMPTY_PAUSE_MS = 20;
+    private static final int LIST_BYTES_MAX = 4 << 20;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Listener listener;
+    private final Bootstrap bootstrap;
+    private Channel channel;
+    /** The version last had; negative while the whole list is needed. */
+    private long index = -1;
+    private boolean watching;
+    private boolean closed;
+    /** Numbers the calls: what belongs to an earlier one is disregarded. */
+    private int call;
+    private Future<?> timeout;
+    private long backoff = BACKOFF_LEAST_MS;
+
+    Discovery(EventLoop loop, Config config, Listener listener) {
+        this.loop = loop;
+        this.config = config;
+        this.listener = listener;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_BYTES_MAX),
+                        new Answers());
+                }
+            });
+    }
+
+    /** Begins to follow the list, or goes on after a failure where that is asked for. */
+    void watch() {
+        if (!watching) {
+            watching = true;
+            next(0);
+        }
+    }
+
+    /** Gets the whole list with the next call, which is made now. */
+    void fetch() {
+        index = -1;
+        watching = true;
+        drop();
+        next(0);
+    }
+
+    void close() {
+        closed = true;
+        drop();
+    }
+
+    private void drop() {
+        call++;
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
+    private void next(long delayMs) {
+        int mine = ++call;
+        loop.schedule(() -> {
+            if (mine == call && !closed) {
+                ask(mine);
+            }
+        }, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void ask(int mine) {
+        long wait = index < 0 ? 0 : WATCH_MS;
+        timeout = loop.schedule(() -> failed(mine, "no answer"), wait + ANSWER_MS, TimeUnit.MILLISECONDS);
+        if (channel != null && channel.isActive()) {
+            write(mine);
+            return;
+        }
+        ChannelFuture connecting = bootstrap.connect(config.discovery());
+        channel = connecting.channel();
+        connecting.addListener(done -> {
+            if (mine == call && done.isSuccess()) {
+                write(mine);
+            } else if (mine == call) {
+                failed(mine, "no connection");
+            }
+        });
+    }
+
+    private void write(int mine) {
+        String uri = index < 0 ? "/v1/servers" : "/v1/servers?since=" + index + "&timeout_ms=" + WATCH_MS;
+        var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+        request.headers().set(HttpHeaderNames.HOST, "discovery");
+        channel.writeAndFlush(request).addListener(done -> {
+            if (!done.isSuccess()) {
+                failed(mine, "connection broken");
+            }
+        });
+    }
+
+    private void failed(int mine, String why) {
+        if (mine != call || closed) {
+            return;
+        }
+        drop();
+        if (config.settings().askDiscovery()) {
+            watching = false; // the module decides when to ask again
+        } else {
+            next(backoff);
+            backoff = Math.min(2 * backoff, BACKOFF_MOST_MS);
+        }
+        listener.failed(why);
+    }
+
+    private void answered(FullHttpResponse response) {
+        timeout.cancel(false);
+        if (response.decoderResult().isFailure() || response.status().code() != 200) {
+            failed(call, "answer " + response.status().code());
+            return;
+        }
+        Listing listing;
+        try (InputStream body = new ByteBufInputStream(response.content())) {
+            listing = decode(JSON.readTree(body), config);
+        } catch (IOException | IllegalArgumentException e) {
+            // Guards against a list that cannot be read: the old one stays, and the whole is asked for, since
+            // what the lost one changed is unknown.
+            index = -1;
+            failed(call, "unusable list: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            return;
+        }
+        index = listing.index();
+        backoff = BACKOFF_LEAST_MS;
+        if (!HttpUtil.isKeepAlive(response)) {
+            drop();
+        }
+        boolean news = listing.snapshot() || !listing.endpoints().isEmpty();
+        next(news ? 0 : EMPTY_PAUSE_MS);
+        if (news) {
+            listener.list(listing.snapshot() ? ListKind.FULL : ListKind.DELTA, listing.endpoints());
+        }
+    }
+
+    /** Decodes a list; an entry that makes no sense makes the whole unusable. */
+    static Listing decode(JsonNode root, Config config) {
+        if (root == null || !root.path("endpoints").isArray() || !root.path("index").canConvertToLong()) {
+            throw new IllegalArgumentException("no list of servers");
+        }
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (JsonNode entry : root.get("endpoints")) {
+            String name = entry.path("name").asText();
+            int zone = config.zones().indexOf(entry.path("zone").asText());
+            if (name.isEmpty() || zone < 0) {
+                throw new IllegalArgumentException("name or zone of a server: " + entry);
+            }
+            Phase phase = switch (entry.path("status").asText()) {
+                case "Ready" -> Phase.READY;
+                case "Terminating" -> Phase.DRAINING;
+                case "Gone" -> Phase.GONE;
+                default -> throw new IllegalArgumentException("status of a server: " + entry);
+            };
+            endpoints.add(new Endpoint(new Server(id(name), zone, entry.path("group").asInt(),
+                config.kinds().indexOf(entry.path("type").asText()), phase, entry.path("weight").asDouble(1),
+                1000 * entry.path("since_ms").asLong()), name,
+                Config.address(entry.path("address").asText())));
+        }
+        return new Listing(root.get("index").asLong(), root.path("snapshot").asBoolean(), endpoints);
+    }
+
+    /** A number for a name or key: the same at every agent, as the module's hashing needs, and never 0. */
+    static long id(String name) {
+        long id = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
+        return id == 0 ? 1 : id;
+    }
+
+    /** Hands on what arrives on the connection in use. */
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() == channel) {
+                answered(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                failed(call, "connection closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
