--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -22,6 +22,8 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -53,10 +55,10 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
     private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private long nextId = 1;
     private boolean deciding;
     private boolean ready;
-    private boolean draining;
 
     /** A request taken and not yet done with. */
     private static final class Pending {
@@ -75,12 +77,12 @@
         }
     }
 
-    private Agent(Config config) throws IOException {
+    private Agent(Config config, Function<Agent, Balancer> module) throws IOException {
         this.config = config;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         int each = (config.sockets() - SOCKETS_RESERVED) / 2;
-        balancer = new Rules(config.settings(), config.seed(), now(), this);
+        balancer = module.apply(this);
         backends = new Backends(loop, config, each);
         discovery = new Discovery(loop, config, new Discovery.Listener() {
             @Override
@@ -123,7 +125,12 @@
     }
 
     static Agent start(Config config) throws IOException {
-        Agent agent = new Agent(config);
+        return start(config, agent -> new Rules(config.settings(), config.seed(), agent.now(), agent));
+    }
+
+    /** With another module than the usual one. */
+    static Agent start(Config config, Function<Agent, Balancer> module) throws IOException {
+        Agent agent = new Agent(config, module);
         agent.loop.execute(agent::begin);
         InetSocketAddress at = agent.address();
         say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
@@ -152,8 +159,11 @@
 
     /** Ends in order: goes on for a moment, then finishes what it holds. Returns when all is done. */
     public void stop() {
+        if (stopping.getAndSet(true)) {
+            awaitEnd();
+            return;
+        }
         loop.execute(() -> {
-            draining = true;
             clients.drain();
             loop.schedule(() -> {
                 clients.stopListening();
@@ -164,7 +174,8 @@
     }
 
     private void draining() {
-        if (open.values().stream().allMatch(each -> each.answered)) {
+        // Answers still being written hold their connections open.
+        if (clients.isEmpty()) {
             discovery.close();
             group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
         } else {
@@ -189,8 +200,13 @@
 
     /** Lets an event into the module. One that arises inside another waits its turn on the loop. */
     private void event(Runnable event) {
+        event(null, event);
+    }
+
+    /** The same for an event of one request, which is given up if the module fails over it. */
+    private void event(Pending pending, Runnable event) {
         if (deciding) {
-            loop.execute(() -> event(event));
+            loop.execute(() -> event(pending, event));
             return;
         }
         deciding = true;
@@ -198,12 +214,25 @@
             event.run();
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
-            log("module: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+            say("module: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+            if (pending != null) {
+                loop.execute(() -> giveUp(pending, HttpResponseStatus.INTERNAL_SERVER_ERROR));
+            }
         } finally {
             deciding = false;
         }
     }
 
+    /** Guards against a request that the module has lost by a fault of its own: it is still failed once. */
+    private void giveUp(Pending pending, HttpResponseStatus status) {
+        if (!pending.answered) {
+            say("request given up: " + status);
+            answer(pending, status, 0);
+            event(() -> balancer.clientLeft(now(), pending.id));
+            abandon(pending);
+        }
+    }
+
     private void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
         Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA ? Set.of() : names.keySet());
         for (Discovery.Endpoint endpoint : endpoints) {
@@ -223,21 +252,12 @@
         open.put(id, pending);
         byExchange.put(exchange, pending);
         long left = Math.max(0, 1000 * incoming.timeoutMs() - MARGIN_MICROS);
-        pending.guard = loop.schedule(() -> overdue(pending), left, TimeUnit.MICROSECONDS);
+        pending.guard = loop.schedule(() -> giveUp(pending, HttpResponseStatus.GATEWAY_TIMEOUT), left,
+            TimeUnit.MICROSECONDS);
         long deadline = now() + left;
         Balancer.Request request = new Balancer.Request(id, incoming.requestClass(), incoming.tenant(),
             incoming.key(), incoming.hint(), deadline, incoming.repeated(), false);
-        event(() -> balancer.request(now(), request));
-    }
-
-    /** Guards against a request that the module has lost, by a fault of its own: it is failed in time. */
-    private void overdue(Pending pending) {
-        if (!pending.answered) {
-            log("request overdue");
-            answer(pending, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
-            event(() -> balancer.clientLeft(now(), pending.id));
-            abandon(pending);
-        }
+        event(pending, () -> balancer.request(now(), request));
     }
 
     private void clientLeft(Exchange exchange) {
@@ -264,8 +284,8 @@
             result.body().release();
         }
         forget(pending);
-        event(() -> balancer.outcome(now(), pending.id, attempt, server, result.outcome(), now() - sentAt,
-            pending.answered, result.load()));
+        event(pending, () -> balancer.outcome(now(), pending.id, attempt, server, result.outcome(),
+            now() - sentAt, pending.answered, result.load()));
     }
 
     private void answer(Pending pending, HttpResponseStatus status, long retryAfter) {
--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -1,5 +1,6 @@
 package gatefront.net;
 
+import gatefront.Balancer;
 import gatefront.net.Backends.Outgoing;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -106,19 +107,25 @@
         closeIdle();
     }
 
+    /** Whether no connection is left. */
+    boolean isEmpty() {
+        return connections.isEmpty();
+    }
+
     private void closeIdle() {
-        List.copyOf(connections).stream().filter(each -> each.current == null)
-            .forEach(each -> each.channel.close());
+        List.copyOf(connections).stream().filter(each -> each.current == null).forEach(Connection::close);
     }
 
     /**
-     * Keeps the connections under the limit on sockets: one in no use makes room, else none is accepted until
-     * one closes. Guards against running out of descriptors, which would end the agent.
+     * Keeps the connections under the limit on sockets: the one longest out of use makes room, else none is
+     * accepted until one closes. Guards against running out of descriptors, which would end the agent; and
+     * those that wait outside would wait for ever if this were not asked when a connection falls idle. One
+     * that has just come is not closed: its request is on the way.
      */
     private void makeRoom() {
         if (connections.size() >= connectionsMost) {
-            connections.stream().filter(each -> each.current == null && each.used).findFirst()
-                .ifPresent(each -> each.channel.close());
+            connections.stream().filter(each -> each.current == null && each.used && !each.closing)
+                .findFirst().ifPresent(Connection::close);
         }
         server.config().setAutoRead(connections.size() < connectionsMost);
     }
@@ -218,6 +225,12 @@
             take(request);
         }
 
+        /** Closes it once what it was sent is written. */
+        private void close() {
+            closing = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
         /** After an answer: the connection is in no use, or what was asked in advance is next. */
         private void next() {
             current = null;
@@ -232,6 +245,8 @@
                     }
                     request.release();
                 });
+            } else {
+                makeRoom();
             }
         }
 
@@ -274,6 +289,10 @@
         if (requestClass < 0 || timeout <= 0 || headers.get("Request-Id", "").isEmpty()) {
             return null;
         }
+        boolean keyed = config.settings().classes().get(requestClass).semantics() == Balancer.Semantics.KEYED;
+        if (keyed && headers.get("Idempotency-Key", "").isEmpty()) {
+            return null; // Guards against an effect twice: without its key no server would drop a repeat.
+        }
         HttpHeaders forwarded = new DefaultHttpHeaders().set(headers);
         for (String option : headers.getAllAsString(HttpHeaderNames.CONNECTION)) {
             List.of(option.split(",")).forEach(each -> forwarded.remove(each.trim()));
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -54,7 +54,7 @@
     record Listing(long index, boolean snapshot, List<Endpoint> endpoints) { }
 
     /** How long a watch waits for news. Short enough that a silent discovery is soon asked again. */
-    private static final long WATCH_MS = 10_000;
+    private static final long WATCH_MS = 5_000;
     /** How much longer than its wait a call may take. */
     private static final long ANSWER_MS = 2_000;
     private static final long BACKOFF_LEAST_MS = 50;
--- /dev/null
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -0,0 +1,509 @@
+package gatefront.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.Balancer;
+import gatefront.Rules;
+import java.io.EOFException;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The agent over loopback sockets, against scripted peers. */
+class AgentTest {
+    private static final Peer.Script SERVES = (message, socket) -> Peer.answer(socket, 200, "", "served");
+    private static final Peer.Script SILENT = (message, socket) -> { };
+    private static final Peer.Script RESETS = (message, socket) -> Peer.reset(socket);
+    private static final Peer.Script CUTS_OFF = (message, socket) -> {
+        Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        socket.close();
+    };
+
+    private Stage stage;
+
+    @BeforeEach
+    void set() throws IOException {
+        stage = new Stage();
+    }
+
+    @AfterEach
+    void strike() throws IOException {
+        stage.close();
+    }
+
+    /** The usual module behind one that is told of each event before it, and may fail. */
+    private Function<Agent, Balancer> overheard(BiConsumer<String, Object[]> before) {
+        return agent -> {
+            Balancer rules = new Rules(Config.of(stage.config).settings(), 1, 0, agent);
+            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class}, (proxy, method, details) -> {
+                    before.accept(method.getName(), details);
+                    return method.invoke(rules, details);
+                });
+        };
+    }
+
+    /** A server that does the one thing with its first request and serves the others; two of them alike. */
+    private void twoServersThatFirst(Peer.Script script) throws IOException {
+        AtomicBoolean first = new AtomicBoolean(true);
+        for (int i = 0; i < 2; i++) {
+            stage.server((message, socket) ->
+                (first.getAndSet(false) ? script : SERVES).handle(message, socket));
+        }
+        stage.start();
+    }
+
+    // ---- Passing on ----
+
+    @Test
+    void aRequestGoesOnUnchangedAndItsAnswerComesBackUnchanged() throws IOException {
+        String body = "b\u0000\u00ff".repeat(20_000);
+        Peer server = stage.server((message, socket) -> Peer.answer(socket, 200, "Content-Type: x/y\r\n", body));
+        stage.start();
+        Peer.Message answer = Stage.exchange(stage.dial(), stage.request("pay", 5000, body));
+        assertEquals(200, answer.status());
+        assertEquals(body, answer.text());
+        assertEquals("x/y", answer.header("Content-Type"));
+        Peer.Message sent = server.requests.get(0);
+        assertEquals("POST /pay?q=1 HTTP/1.1", sent.first());
+        assertEquals(body, sent.text());
+        assertEquals("id1", sent.header("Request-Id"));
+        assertEquals("k1", sent.header("Idempotency-Key"));
+        int told = Integer.parseInt(sent.header("Request-Timeout-Ms"));
+        assertTrue(told > 0 && told <= 3000, "it waits no longer than the aim: " + told);
+    }
+
+    @Test
+    void splitAndChunkedMessagesAndBodiesOf64KiBPass() throws Exception {
+        String chunk = "c".repeat(32 << 10);
+        Peer server = stage.server((message, socket) -> {
+            for (String part : List.of("HTTP/1.1 200 O", "K\r\nTransfer-Enco", "ding: chunked\r\n\r\n8000\r\n",
+                    chunk, "\r\n8000\r\n", chunk, "\r\n0\r\n", "\r\n")) {
+                Peer.write(socket, part);
+                Thread.sleep(2);
+            }
+        });
+        stage.start();
+        Socket client = stage.dial();
+        String head = "POST /order HTTP/1.1\r\nHost: a\r\nRequest-Id: x\r\nRequest-Timeout-Ms: 8000\r\n";
+        for (String part : List.of(head, "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + chunk + "\r\n8000\r\n",
+                chunk + "\r\n0", "\r\n\r\n")) {
+            Peer.write(client, part);
+            Thread.sleep(2);
+        }
+        assertEquals(chunk + chunk, Peer.read(client.getInputStream()).text());
+        assertEquals(chunk + chunk, server.requests.get(0).text());
+    }
+
+    @Test
+    void connectionsAreKeptOnBothSides() throws IOException {
+        Peer server = stage.server(SERVES);
+        stage.start();
+        Socket client = stage.dial();
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, Stage.exchange(client, stage.request("lookup", 8000, "")).status());
+        }
+        assertEquals(5, server.requests.size());
+        assertTrue(server.sockets.size() <= 2, "one for requests, and perhaps one for probes");
+    }
+
+    @Test
+    void requestsSentInAdvanceAreAnsweredInTheirOrder() throws IOException {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", message.header("Request-Id")));
+        stage.start();
+        Socket client = stage.dial();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 12; i++) {
+            all.append(stage.request("lookup", 8000, ""));
+        }
+        Peer.write(client, all.toString());
+        for (int i = 1; i <= 12; i++) {
+            assertEquals("id" + i, Peer.read(client.getInputStream()).text());
+        }
+    }
+
+    // ---- Outcomes ----
+
+    @ParameterizedTest
+    @ValueSource(strings = {"lookup", "pay", "order"})
+    void whatWasTurnedAwayUnseenIsSentAgain(String type) throws IOException {
+        twoServersThatFirst((message, socket) -> Peer.answer(socket, 503, "Not-Started: 1\r\n", ""));
+        assertEquals(200, stage.call(type).status());
+        assertEquals(2, stage.arrived());
+    }
+
+    /** Guards against an effect twice: only Not-Started proves that a 503 has not run. */
+    @Test
+    void aBare503MayHaveRun() throws IOException {
+        twoServersThatFirst((message, socket) -> Peer.answer(socket, 503, "", ""));
+        assertEquals(502, stage.call("order").status());
+        assertEquals(1, stage.arrived());
+    }
+
+    /** Guards against an effect twice: a request written whole may have run, however its connection ends. */
+    @Test
+    void anUnsafeRequestIsNotSentAgainAfterAReset() throws IOException {
+        twoServersThatFirst(RESETS);
+        assertEquals(502, stage.call("order").status());
+        assertEquals(1, stage.arrived());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"lookup", "pay"})
+    void aSafeOrKeyedRequestIsSentAgainAfterAReset(String type) throws IOException {
+        twoServersThatFirst(RESETS);
+        assertEquals(200, stage.call(type).status());
+        assertEquals(2, stage.arrived());
+    }
+
+    /** Guards against half an answer being served as a whole one. */
+    @Test
+    void anAnswerCutOffIsNotServed() throws IOException {
+        twoServersThatFirst(CUTS_OFF);
+        Peer.Message answer = stage.call("lookup");
+        assertEquals(200, answer.status());
+        assertEquals("served", answer.text());
+    }
+
+    @Test
+    void anAnswerCutOffInsideAChunkIsNotServed() throws IOException {
+        twoServersThatFirst((message, socket) -> {
+            Peer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nhalf");
+            socket.close();
+        });
+        assertEquals(502, stage.call("order").status());
+        assertEquals(1, stage.arrived());
+    }
+
+    @Test
+    void anAnswerThatIsNotHttpOrTooLargeFailsItsAttemptOnly() throws IOException {
+        AtomicInteger turn = new AtomicInteger();
+        for (int i = 0; i < 3; i++) {
+            stage.server((message, socket) -> {
+                switch (turn.getAndIncrement()) {
+                    case 0 -> Peer.write(socket, "I am not HTTP\r\n\r\n");
+                    case 1 -> Peer.answer(socket, 200, "", "x".repeat(100_000));
+                    default -> Peer.answer(socket, 200, "", "served");
+                }
+            });
+        }
+        stage.start();
+        assertEquals("served", stage.call("lookup").text());
+        assertEquals(3, turn.get());
+    }
+
+    @Test
+    void aServerThatRefusesConnectionsCostsAnUnsafeRequestNothing() throws IOException {
+        stage.server(SERVES).listener.close();
+        stage.server(SERVES);
+        stage.start();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, stage.call("order").status());
+        }
+        assertEquals(6, stage.arrived());
+    }
+
+    @Test
+    void aRequestWithNowhereToGoIsRefusedWithAdvice() throws IOException {
+        stage.start();
+        Peer.Message answer = stage.call("order");
+        assertEquals(503, answer.status());
+        assertEquals("1.0", answer.header("Retry-After"));
+    }
+
+    @Test
+    void aSilentServerIsGivenUpInTimeAndItsConnectionClosed() throws IOException {
+        stage.settings("caps", caps -> caps.put("probes", false));
+        Peer server = stage.server(SILENT);
+        stage.start();
+        assertEquals(502, Stage.exchange(stage.dial(), stage.request("order", 1000, "body")).status());
+        Stage.await(() -> server.ended.size() == server.sockets.size());
+        assertEquals(1, server.requests.size());
+    }
+
+    /** Guards against work and sockets spent on a client that has gone. */
+    @Test
+    void theAttemptOfAClientThatLeavesIsGivenUp() throws IOException {
+        stage.settings("caps", caps -> caps.put("probes", false).put("cancel", false));
+        Peer server = stage.server(SILENT);
+        stage.start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        Stage.await(() -> server.requests.size() == 1);
+        client.close();
+        Stage.await(() -> server.ended.size() == 1);
+    }
+
+    /** Guards against writing to a connection that the server is about to close as idle. */
+    @Test
+    void connectionsAreClosedBeforeTheServerWouldCloseThem() throws IOException {
+        stage.settings("caps", caps -> caps.put("idle-close-us", 400_000).put("probes", false));
+        Peer server = stage.server(SERVES);
+        stage.start();
+        assertEquals(200, stage.call("lookup").status());
+        Stage.await(() -> server.ended.size() == 1);
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    // ---- Discovery and drains ----
+
+    @Test
+    void changesAreAppliedAndADrainedServerGetsNothingNew() throws Exception {
+        Peer first = stage.server(SERVES);
+        Peer second = new Peer(SERVES);
+        stage.servers.add(second);
+        stage.start();
+        assertEquals(200, stage.call("lookup").status());
+        stage.news.add(Stage.delta(1, Stage.endpoint(2, second.address(), "Ready"),
+            Stage.endpoint(1, first.address(), "Terminating")));
+        Stage.await(() -> stage.discovery.requests.stream().anyMatch(each -> each.target().contains("since=1&")));
+        int before = first.requests.size();
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, stage.call("lookup").status());
+        }
+        assertEquals(before, first.requests.size());
+        assertEquals(5, second.requests.size());
+    }
+
+    /** Guards against a request written, after a drain was told, to a connection that was still being made. */
+    @Test
+    void aDrainToldWhileConnectingStopsTheRequest() throws Exception {
+        stage.settings("caps", caps -> caps.put("dial-timeout-us", 6_000_000).put("probes", false));
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + full.getLocalPort();
+            ((ObjectNode) stage.config.get("known")).putArray("endpoints").add(Stage.endpoint(1, address, "Ready"));
+            stage.start();
+            List<Socket> filling = new ArrayList<>();
+            for (int i = 0; i < 4; i++) { // the kernel holds back further connections until some are accepted
+                Socket socket = new Socket();
+                filling.add(socket);
+                Peer.daemon(() -> socket.connect(full.getLocalSocketAddress()));
+            }
+            Thread.sleep(200);
+            Socket client = stage.dial();
+            Peer.write(client, stage.request("order", 8000, "body"));
+            Thread.sleep(100);
+            stage.news.add(Stage.delta(1, Stage.endpoint(1, address, "Terminating")));
+            Stage.await(() -> stage.discovery.requests.stream()
+                .anyMatch(each -> each.target().contains("since=1&")));
+            AtomicInteger written = new AtomicInteger();
+            Peer.daemon(() -> {
+                while (true) {
+                    Socket accepted = full.accept();
+                    Peer.daemon(() -> written.addAndGet(accepted.getInputStream().readNBytes(1).length));
+                }
+            });
+            assertEquals(503, Peer.read(client.getInputStream()).status());
+            assertEquals(0, written.get());
+            for (Socket socket : filling) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Guards against a list that cannot be read taking the servers away, or ending the agent. */
+    @ParameterizedTest
+    @ValueSource(strings = {"not json", "{}", "{\"index\":9,\"snapshot\":true,\"endpoints\":[{\"name\":\"s\"}]}",
+        "{\"index\":9,\"snapshot\":true,\"endpoints\":[7]}"})
+    void anUnusableListLeavesTheOldOneAndTheWholeIsAskedForAgain(String body) throws Exception {
+        stage.server(SERVES);
+        stage.start();
+        int before = stage.discovery.requests.size();
+        stage.news.add((message, socket) -> Peer.answer(socket, 200, "", body));
+        Stage.await(() -> stage.discovery.requests.stream().skip(before)
+            .anyMatch(each -> each.target().equals("/v1/servers")));
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    @Test
+    void afterAFailedOrBrokenCallTheListIsFollowedOn() throws Exception {
+        Peer server = new Peer(SERVES);
+        stage.servers.add(server);
+        stage.start();
+        stage.news.add((message, socket) -> Peer.answer(socket, 503, "", ""));
+        stage.news.add(RESETS);
+        stage.news.add((message, socket) -> socket.close());
+        stage.news.add((message, socket) -> Peer.answer(socket, 200, "Connection: close\r\n",
+            "{\"index\":3,\"snapshot\":false,\"endpoints\":[]}"));
+        stage.news.add(Stage.delta(4, Stage.endpoint(1, server.address(), "Ready")));
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    @Test
+    void whileDiscoveryIsDownTheKnownListHasToDo() throws Exception {
+        stage.server(SERVES);
+        stage.discovery.close();
+        stage.start();
+        assertEquals(200, stage.call("order").status());
+    }
+
+    @Test
+    void theListGivesTimesAndNamesAsTheModuleNeedsThem() throws Exception {
+        ObjectNode entry = Stage.endpoint(1, "127.0.0.1:9", "Ready");
+        ((ObjectNode) stage.config.get("known")).putArray("endpoints").add(entry)
+            .add(Stage.endpoint(2, "127.0.0.1:9", "Gone"));
+        entry.put("since_ms", 1_700_000_000_123L);
+        List<Discovery.Endpoint> list =
+            Discovery.decode(stage.config.get("known"), Config.of(stage.config)).endpoints();
+        assertEquals(1_700_000_000_123_000L, list.get(0).server().startedAt());
+        assertEquals(0, list.get(1).server().startedAt());
+        assertEquals(Balancer.Phase.GONE, list.get(1).server().phase());
+        assertEquals(Discovery.id("s-1"), list.get(0).server().id());
+    }
+
+    // ---- What clients may send ----
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "GET /nothing HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 500\r\n\r\n",
+        "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 500\r\n\r\n",
+        "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n",
+        "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: soon\r\n\r\n",
+        "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: -5\r\n\r\n",
+        "POST /pay HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 500\r\nContent-Length: 0\r\n\r\n",
+        "POST /order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: many\r\n\r\n",
+        "GET /lookup HTTP/1.1\r\nno colon\r\n\r\n",
+        "\u0016\u0003\u0001\r\n\r\n"})
+    void badInputIsAnswered400AndTheAgentLivesOn(String bytes) throws IOException {
+        stage.server(SERVES);
+        stage.start();
+        assertEquals(400, Stage.exchange(stage.dial(), bytes).status());
+        assertEquals(200, stage.call("lookup").status());
+        assertEquals(1, stage.arrived());
+    }
+
+    @Test
+    void aBodyOver64KiBIsAnswered413() throws IOException {
+        stage.server(SERVES);
+        stage.start();
+        assertEquals(413, Stage.exchange(stage.dial(), stage.request("order", 500, "x".repeat(65_537))).status());
+        assertEquals(0, stage.arrived());
+        assertEquals(200, stage.call("order").status());
+    }
+
+    /** Guards against a request that is answered for another's fault, or never. */
+    @ParameterizedTest
+    @ValueSource(strings = {"request", "outcome"})
+    void aFaultOfTheModuleStillGivesOneFinalAnswer(String where) throws IOException {
+        stage.server(SERVES);
+        AtomicBoolean faulty = new AtomicBoolean(true);
+        stage.start(overheard((event, details) -> {
+            if (event.equals(where) && faulty.getAndSet(false)) {
+                throw new IllegalStateException("a test's fault");
+            }
+        }));
+        assertEquals(where.equals("request") ? 500 : 200, stage.call("lookup").status());
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    // ---- Limits and the end ----
+
+    /** Guards against running out of descriptors, on either side. */
+    @Test
+    void atTheLimitOnSocketsNothingIsLost() throws Exception {
+        ((ObjectNode) stage.config.get("limits")).put("sockets", 64 + 2 * 4);
+        CountDownLatch open = new CountDownLatch(1);
+        stage.server((message, socket) -> {
+            open.await();
+            Peer.answer(socket, 200, "", "served");
+        });
+        stage.start();
+        List<CompletableFuture<Integer>> answers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Socket client = stage.dial();
+            String request = stage.request("order", 8000, "body");
+            CompletableFuture<Integer> answer = new CompletableFuture<>();
+            answers.add(answer);
+            Peer.daemon(() -> answer.complete(Stage.exchange(client, request).status()));
+        }
+        Stage.await(() -> stage.arrived() > 0);
+        open.countDown();
+        for (CompletableFuture<Integer> answer : answers) {
+            assertTrue(List.of(200, 503).contains(answer.get(20, TimeUnit.SECONDS)));
+        }
+        assertEquals(200, stage.call("order").status());
+    }
+
+    @Test
+    void anAgentToldToEndFinishesWhatItHoldsAndTakesConnectionsForAMoment() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        stage.server((message, socket) -> {
+            if (message.target().startsWith("/order")) {
+                go.await();
+            }
+            Peer.answer(socket, 200, "", "served");
+        });
+        stage.start();
+        Socket held = stage.dial();
+        Socket idle = stage.dial();
+        assertEquals(200, Stage.exchange(idle, stage.request("lookup", 8000, "")).status());
+        Peer.write(held, stage.request("order", 8000, "body"));
+        Stage.await(() -> stage.arrived() == 2);
+        Thread ending = Peer.daemon(stage.agent::stop);
+        assertThrows(EOFException.class, () -> Peer.read(idle.getInputStream()));
+        Peer.Message late = Stage.exchange(stage.dial(), stage.request("lookup", 8000, ""));
+        assertEquals(200, late.status());
+        assertEquals("close", late.header("Connection"));
+        Stage.await(() -> { // it no longer listens, but still owes an answer
+            try {
+                return !stage.dial().isBound();
+            } catch (IOException e) {
+                return true;
+            }
+        });
+        assertTrue(ending.isAlive());
+        go.countDown();
+        Peer.Message answer = Peer.read(held.getInputStream());
+        assertEquals(200, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        ending.join(Stage.GENEROUS_MS);
+        assertFalse(ending.isAlive());
+    }
+
+    @Test
+    void reportsAreReadInTheSettingsOrder() throws Exception {
+        stage.server((message, socket) ->
+            Peer.answer(socket, 200, "Server-Load: inflight=7,queue=2,util=0.61\r\n", "served"));
+        CompletableFuture<double[]> load = new CompletableFuture<>();
+        stage.start(overheard((event, details) -> {
+            if (event.equals("outcome")) {
+                load.complete((double[]) details[7]);
+            }
+        }));
+        stage.call("lookup");
+        assertEquals(List.of(2.0, 7.0), Arrays.stream(load.get()).boxed().toList());
+    }
+
+    @Test
+    void anUnusableConfigurationIsSaidInOneLine() {
+        stage.config.put("seed", "not hex");
+        assertEquals("config: seed has an unusable value: not hex",
+            assertThrows(IllegalArgumentException.class, () -> Config.of(stage.config)).getMessage());
+        stage.config.put("seed", "1").put("listen", "somewhere");
+        assertEquals("unusable address: somewhere",
+            assertThrows(IllegalArgumentException.class, () -> Config.of(stage.config)).getMessage());
+        stage.config.remove("settings");
+        assertThrows(IllegalArgumentException.class, () -> Config.of(stage.config));
+    }
+}
--- /dev/null
+++ b/src/test/java/gatefront/net/Stage.java
@@ -0,0 +1,155 @@
+package gatefront.net;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.Balancer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** An agent on a loopback port with a scripted discovery and scripted servers. */
+final class Stage implements Closeable {
+    static final long GENEROUS_MS = 20_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    final ObjectNode config;
+    final List<Peer> servers = new ArrayList<>();
+    /** What discovery answers to the calls after the first, one each; it waits while there is none. */
+    final BlockingQueue<Peer.Script> news = new LinkedBlockingQueue<>();
+    final Peer discovery;
+    Agent agent;
+    private final List<Socket> clients = new ArrayList<>();
+    private int requests;
+
+    Stage() throws IOException {
+        config = (ObjectNode) JSON.readTree(Files.readAllBytes(Path.of("src/test/resources/config.json")));
+        discovery = new Peer((message, socket) -> {
+            if (message.target().contains("since")) {
+                news.take().handle(message, socket);
+            } else {
+                Peer.answer(socket, 200, "", config.get("known").toString());
+            }
+        });
+        config.put("discovery", discovery.address());
+    }
+
+    /** Adds a server to the known list, which is also discovery's first answer. */
+    Peer server(Peer.Script script) throws IOException {
+        Peer peer = new Peer(script);
+        servers.add(peer);
+        ((ArrayNode) config.get("known").get("endpoints")).add(endpoint(servers.size(), peer.address(), "Ready"));
+        return peer;
+    }
+
+    static ObjectNode endpoint(int number, String address, String status) {
+        return JSON.createObjectNode().put("name", "s-" + number).put("address", address).put("zone", "a")
+            .put("type", "small").put("group", 0).put("status", status).put("weight", 1.0).put("since_ms", 0);
+    }
+
+    /** Discovery's answer with changes. */
+    static Peer.Script delta(int index, ObjectNode... entries) {
+        ObjectNode list = JSON.createObjectNode().put("index", index).put("snapshot", false);
+        list.putArray("endpoints").addAll(List.of(entries));
+        return (message, socket) -> Peer.answer(socket, 200, "", list.toString());
+    }
+
+    Stage settings(String group, Consumer<ObjectNode> change) {
+        change.accept((ObjectNode) config.get("settings").get(group));
+        return this;
+    }
+
+    Stage start() throws IOException {
+        agent = Agent.start(Config.of(config));
+        awaitReady();
+        return this;
+    }
+
+    Stage start(Function<Agent, Balancer> module) throws IOException {
+        agent = Agent.start(Config.of(config), module);
+        awaitReady();
+        return this;
+    }
+
+    private void awaitReady() {
+        await(() -> {
+            try (Socket socket = dial()) {
+                Peer.write(socket, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+                return Peer.read(socket.getInputStream()).status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    /** A connection of the application's. */
+    Socket dial() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), agent.address().getPort());
+        socket.setSoTimeout((int) GENEROUS_MS);
+        clients.add(socket);
+        return socket;
+    }
+
+    /** A request as a client sends it; the classes are safe, keyed and unsafe: lookup, pay, order. */
+    String request(String type, long timeoutMs, String body) {
+        String method = type.equals("lookup") ? "GET" : "POST";
+        return method + " /" + type + "?q=1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: id" + ++requests
+            + "\r\nRequest-Class: " + type + "\r\nRequest-Timeout-Ms: " + timeoutMs + "\r\n"
+            + (type.equals("pay") ? "Idempotency-Key: k" + requests + "\r\n" : "")
+            + (method.equals("POST") ? "Content-Length: " + body.length() + "\r\n" : "") + "\r\n" + body;
+    }
+
+    /** Sends a request on a new connection and returns its answer. */
+    Peer.Message call(String type) throws IOException {
+        return exchange(dial(), request(type, 8000, "body"));
+    }
+
+    static Peer.Message exchange(Socket socket, String request) throws IOException {
+        Peer.write(socket, request);
+        return Peer.read(socket.getInputStream());
+    }
+
+    /** How many requests have reached the servers. */
+    int arrived() {
+        return servers.stream().mapToInt(each -> each.requests.size()).sum();
+    }
+
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GENEROUS_MS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("did not come about");
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : clients) {
+            socket.close();
+        }
+        if (agent != null) {
+            agent.stop();
+        }
+        discovery.close();
+        for (Peer server : servers) {
+            server.close();
+        }
+    }
+}
