--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -186,10 +186,11 @@
         assertEquals("served", answer.text());
     }
 
-    @Test
-    void anAnswerCutOffInsideAChunkIsNotServed() throws IOException {
+    @ParameterizedTest
+    @ValueSource(strings = {"ff\r\nhalf", "4\r\nhalf\r\nno size\r\n"})
+    void anAnswerCutOffOrSpoiltInsideItsChunksIsNotServed(String chunks) throws IOException {
         twoServersThatFirst((message, socket) -> {
-            Peer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nhalf");
+            Peer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
             socket.close();
         });
         assertEquals(502, stage.call("order").status());
@@ -244,14 +245,20 @@
 
     /** Guards against work and sockets spent on a client that has gone. */
     @Test
-    void theAttemptOfAClientThatLeavesIsGivenUp() throws IOException {
+    void theAttemptOfAClientThatLeavesIsGivenUp() throws Exception {
         stage.settings("caps", caps -> caps.put("probes", false).put("cancel", false));
         Peer server = stage.server(SILENT);
-        stage.start();
+        CompletableFuture<Object> outcome = new CompletableFuture<>();
+        stage.start(overheard((event, details) -> {
+            if (event.equals("outcome")) {
+                outcome.complete(details[4]);
+            }
+        }));
         Socket client = stage.dial();
         Peer.write(client, stage.request("lookup", 8000, ""));
         Stage.await(() -> server.requests.size() == 1);
         client.close();
+        assertEquals(Balancer.Outcome.CANCELLED, outcome.get(20, TimeUnit.SECONDS), "and not its time-out");
         Stage.await(() -> server.ended.size() == 1);
     }
 
