--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -35,7 +35,7 @@
     /** Of the client's time, what the answer's way back and a late wake-up may take. */
     private static final long MARGIN_MICROS = 10_000;
     /** Descriptors kept back for the program's own files, discovery and the listener. */
-    private static final int SOCKETS_RESERVED = 64;
+    private static final int SOCKETS_RESERVED = 40;
     /** How long new connections are still taken after the end was asked for. */
     private static final long LINGER_MS = 500;
     /** How long the first list is waited for before the known one has to do. */
--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -31,6 +31,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -58,13 +59,13 @@
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
+    private static final long LEFT_ALONE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final Config config;
     private final Listener listener;
     private final BooleanSupplier ready;
     private final int connectionsMost;
     private final Channel server;
-    /** All connections; one that has been answered moves to the end. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private boolean draining;
 
@@ -89,6 +90,7 @@
             throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
         this.server = bound.channel();
+        loop.scheduleWithFixedDelay(this::closeLeftAlone, 1, 1, TimeUnit.SECONDS);
     }
 
     Channel channel() {
@@ -117,17 +119,21 @@
     }
 
     /**
-     * Keeps the connections under the limit on sockets: the one longest out of use makes room, else none is
-     * accepted until one closes. Guards against running out of descriptors, which would end the agent; and
-     * those that wait outside would wait for ever if this were not asked when a connection falls idle. One
-     * that has just come is not closed: its request is on the way.
+     * Keeps the connections under the limit on sockets: at the limit each answer is the last of its
+     * connection, and none is accepted until one closes. Guards against running out of descriptors, which
+     * would end the agent, and against closing a connection unannounced: its next request may be on the way.
      */
-    private void makeRoom() {
+    private void accept() {
+        server.config().setAutoRead(connections.size() < connectionsMost);
+    }
+
+    /** At the limit, those that their client has left alone for long must not keep others out. */
+    private void closeLeftAlone() {
+        long since = System.nanoTime() - LEFT_ALONE_NANOS;
         if (connections.size() >= connectionsMost) {
-            connections.stream().filter(each -> each.current == null && each.used && !each.closing)
-                .findFirst().ifPresent(Connection::close);
+            connections.stream().filter(each -> each.current == null && each.idleSince - since < 0).toList()
+                .forEach(Connection::close);
         }
-        server.config().setAutoRead(connections.size() < connectionsMost);
     }
 
     /** One request and the answer it is owed. */
@@ -157,7 +163,7 @@
             if (retryAfterMicros > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterMicros / 1e6));
             }
-            boolean last = !keepAlive || draining;
+            boolean last = !keepAlive || draining || connections.size() >= connectionsMost;
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -180,7 +186,7 @@
         private final Deque<FullHttpRequest> ahead = new ArrayDeque<>();
         /** The exchange that is owed an answer, or null. */
         private Exchange current;
-        private boolean used;
+        private long idleSince = System.nanoTime();
         private boolean closing;
 
         Connection(Channel channel) {
@@ -190,13 +196,13 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            makeRoom();
+            accept();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
-            makeRoom();
+            accept();
             closing = true;
             ahead.forEach(FullHttpRequest::release);
             ahead.clear();
@@ -234,8 +240,7 @@
         /** After an answer: the connection is in no use, or what was asked in advance is next. */
         private void next() {
             current = null;
-            connections.remove(this);
-            connections.add(this);
+            idleSince = System.nanoTime();
             FullHttpRequest request = closing ? null : ahead.poll();
             if (request != null) {
                 channel.config().setAutoRead(true);
@@ -245,13 +250,10 @@
                     }
                     request.release();
                 });
-            } else {
-                makeRoom();
             }
         }
 
         private void take(FullHttpRequest request) {
-            used = true;
             if (request.decoderResult().isFailure()) {
                 current = new Exchange(this, false);
                 current.answer(HttpResponseStatus.BAD_REQUEST);
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -429,7 +429,7 @@
     /** Guards against running out of descriptors, on either side. */
     @Test
     void atTheLimitOnSocketsNothingIsLost() throws Exception {
-        ((ObjectNode) stage.config.get("limits")).put("sockets", 64 + 2 * 4);
+        ((ObjectNode) stage.config.get("limits")).put("sockets", 40 + 2 * 12);
         CountDownLatch open = new CountDownLatch(1);
         stage.server((message, socket) -> {
             open.await();
@@ -437,7 +437,7 @@
         });
         stage.start();
         List<CompletableFuture<Integer>> answers = new ArrayList<>();
-        for (int i = 0; i < 12; i++) {
+        for (int i = 0; i < 36; i++) {
             Socket client = stage.dial();
             String request = stage.request("order", 8000, "body");
             CompletableFuture<Integer> answer = new CompletableFuture<>();
@@ -452,6 +452,36 @@
         assertEquals(200, stage.call("order").status());
     }
 
+    /**
+     * Guards against a request lost on a kept connection that is closed for room while it is on its way; one
+     * that has to go is told so with its answer.
+     */
+    @Test
+    void atTheLimitOnSocketsKeptConnectionsAreNotClosedUnannounced() throws Exception {
+        ((ObjectNode) stage.config.get("limits")).put("sockets", 40 + 2 * 12);
+        stage.server(SERVES);
+        stage.start();
+        List<Socket> kept = new ArrayList<>();
+        for (int i = 0; i < 11; i++) {
+            kept.add(stage.dial());
+            Stage.exchange(kept.get(i), stage.request("lookup", 8000, ""));
+        }
+        List<Socket> more = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            more.add(stage.dial());
+        }
+        int told = 0;
+        for (Socket client : kept) {
+            Peer.Message answer = Stage.exchange(client, stage.request("lookup", 8000, ""));
+            assertEquals(200, answer.status());
+            told += "close".equals(answer.header("Connection")) ? 1 : 0;
+        }
+        assertTrue(told > 0, "some made room");
+        for (Socket client : more) {
+            assertEquals(200, Stage.exchange(client, stage.request("lookup", 8000, "")).status());
+        }
+    }
+
     @Test
     void anAgentToldToEndFinishesWhatItHoldsAndTakesConnectionsForAMoment() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
