--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -357,6 +357,18 @@
         assertEquals(200, stage.call("lookup").status());
     }
 
+    @Test
+    void whereDiscoveryIsAskedTheModuleSaysWhenAfterAFailure() throws Exception {
+        ((ObjectNode) stage.config.get("settings")).put("discovery", "subscribe");
+        Peer server = new Peer(SERVES);
+        stage.servers.add(server);
+        stage.start();
+        stage.news.add((message, socket) -> Peer.answer(socket, 503, "", ""));
+        stage.news.add(Stage.delta(4, Stage.endpoint(1, server.address(), "Ready")));
+        Stage.await(() -> stage.discovery.requests.stream().anyMatch(each -> each.target().contains("since=4&")));
+        assertEquals(200, stage.call("lookup").status());
+    }
+
     @Test
     void whileDiscoveryIsDownTheKnownListHasToDo() throws Exception {
         stage.server(SERVES);
