--- a/src/main/java/gatefront/rehearsal/Day.java
+++ b/src/main/java/gatefront/rehearsal/Day.java
@@ -2,12 +2,10 @@
 
 import gatefront.rehearsal.check.RuleChecker;
 import gatefront.rehearsal.net.Machine;
-import gatefront.rehearsal.net.Network;
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Draw;
 import gatefront.rehearsal.world.Repeats;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
@@ -80,12 +78,12 @@
 
     /** Microseconds since the day began. */
     long now() {
-        return (world.transport().nanos() - startNanos) / 1000;
+        return micros(world.transport().nanos());
     }
 
-    /** Microseconds of the day at which the other side sent what a channel's handler is told of. */
-    long sentAt(Channel channel) {
-        return (Network.sentAt(channel) - startNanos) / 1000;
+    /** A time of the clock in microseconds of the day. */
+    long micros(long nanos) {
+        return (nanos - startNanos) / 1000;
     }
 
     /** Milliseconds since 1970 by the time of day. */
--- a/src/main/java/gatefront/rehearsal/ProcessAgent.java
+++ b/src/main/java/gatefront/rehearsal/ProcessAgent.java
@@ -2,6 +2,7 @@
 
 import gatefront.rehearsal.net.Machine;
 import gatefront.transport.Transport;
+import io.netty.channel.Channel;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -54,6 +55,11 @@
             return new InetSocketAddress(address, port);
         }
 
+        @Override
+        public long sentAt(Channel channel) {
+            throw new UnsupportedOperationException("its channels are another process's");
+        }
+
         @Override
         public boolean running() {
             return process != null && process.isAlive();
--- a/src/main/java/gatefront/rehearsal/Record.java
+++ b/src/main/java/gatefront/rehearsal/Record.java
@@ -46,6 +46,8 @@
     final List<Note> notes = new ArrayList<>();
     private final Cast cast;
     private long opensAt;
+    /** Connections that nodos have closed because they were in no use. */
+    int closedIdle;
     private int open;
 
     Record(Plan plan, Cast cast) {
@@ -72,6 +74,11 @@
         open++;
     }
 
+    /** A nodo has closed a connection that was in no use for its time. */
+    void closedIdle() {
+        closedIdle++;
+    }
+
     /** How many still wait. */
     int open() {
         return open;
--- a/src/main/java/gatefront/rehearsal/Rehearsal.java
+++ b/src/main/java/gatefront/rehearsal/Rehearsal.java
@@ -32,6 +32,9 @@
     /** Segments tell when they were sent; what is left is the rounding to microseconds. */
     private static final long SLACK = 1_000;
     private static final int LINES_MOST = 2_000;
+    /** Timers that an agent with nothing to do may have: its own, and for each nodo listed. */
+    private static final int TIMERS_MOST = 16;
+    private static final int TIMERS_A_NODO = 2;
 
     private final Plan plan;
     private final long seed;
@@ -169,6 +172,10 @@
                 day.checker.left(day.now(), each.name() + " has not ended, "
                     + ((Host) each.machine()).openChannels() + " connections are open");
             }
+            int timers = ((Host) each.machine()).timersDropped();
+            if (timers > TIMERS_MOST + TIMERS_A_NODO * day.padron.listed().size()) {
+                day.checker.left(day.now(), each.name() + " ended with " + timers + " timers pending");
+            }
         }
         day.checker.close(day.now());
     }
--- a/src/main/java/gatefront/rehearsal/Report.java
+++ b/src/main/java/gatefront/rehearsal/Report.java
@@ -81,7 +81,7 @@
         record.notes.forEach(each -> notes.addObject().put("at", round(each.at())).put("text", each.text()));
         ArrayNode log = root.putArray("log");
         outcome.log().forEach(log::add);
-        root.put("tasks", outcome.tasks());
+        root.put("closed_idle", record.closedIdle).put("tasks", outcome.tasks());
         return root;
     }
 
--- a/src/main/java/gatefront/rehearsal/SocketMachine.java
+++ b/src/main/java/gatefront/rehearsal/SocketMachine.java
@@ -21,6 +21,9 @@
  * still leaves. That is as near as loopback comes without privileges.
  */
 final class SocketMachine implements Machine, Transport {
+    /** After this all that had been held back has been read. */
+    private static final long CATCHING_UP_NANOS = 500_000_000;
+
     private final String name;
     private final InetAddress address;
     private final EventLoop loop;
@@ -28,6 +31,8 @@
     private final Set<Channel> channels = new LinkedHashSet<>();
     private boolean running = true;
     private boolean vanished;
+    private long vanishedAt;
+    private long appearedAt;
 
     SocketMachine(String name, InetAddress address, EventLoop loop) {
         this.name = name;
@@ -50,6 +55,13 @@
         return new InetSocketAddress(address, port);
     }
 
+    /** Guards against blaming an agent for what it sent while this machine read nothing. */
+    @Override
+    public long sentAt(Channel channel) {
+        boolean heldBack = vanishedAt != 0 && (vanished || nanos() - appearedAt < CATCHING_UP_NANOS);
+        return heldBack ? vanishedAt : nanos();
+    }
+
     @Override
     public boolean running() {
         return running;
@@ -82,12 +94,14 @@
     @Override
     public void vanish() {
         vanished = true;
+        vanishedAt = nanos();
         channels.forEach(each -> each.config().setAutoRead(false));
     }
 
     @Override
     public void appear() {
         vanished = false;
+        appearedAt = nanos();
         if (running) {
             channels.forEach(each -> each.config().setAutoRead(true));
         } else {
--- a/src/main/java/gatefront/rehearsal/Timetable.java
+++ b/src/main/java/gatefront/rehearsal/Timetable.java
@@ -8,6 +8,7 @@
     private static final long SECOND = 1_000_000;
     /** SIGKILL comes so long after SIGTERM: the longest deadline at the most, and then some. */
     private static final long KILL_AFTER = 700_000;
+    private static final long REPLACED_AFTER = 1_000;
 
     private final Day day;
     private final long opensAt;
@@ -84,8 +85,11 @@
                     nodo.machine().boot();
                     NodoStand fresh = day.addNodo(nodo.spec(), nodo.machine());
                     nodo.leaves();
-                    fresh.start(true);
-                    day.padron.learnsStart(fresh);
+                    // Guards against an address in use: a socket is free only after its loop has looked once more.
+                    day.at(day.now() + REPLACED_AFTER, () -> {
+                        fresh.start(true);
+                        day.padron.learnsStart(fresh);
+                    });
                 }
             }
             default -> throw new IllegalStateException(trouble.fault().kind().word());
--- a/src/main/java/gatefront/rehearsal/net/Host.java
+++ b/src/main/java/gatefront/rehearsal/net/Host.java
@@ -63,6 +63,11 @@
         return new InetSocketAddress(address, port);
     }
 
+    @Override
+    public long sentAt(Channel channel) {
+        return Network.sentAt(channel);
+    }
+
     int port() {
         nextPort = nextPort >= 65_000 ? FIRST_PORT : nextPort + 1;
         return nextPort;
@@ -107,6 +112,11 @@
         return channels.size();
     }
 
+    /** Timers that the latest process to end still had. */
+    public int timersDropped() {
+        return loop.dropped();
+    }
+
     @Override
     public EventLoop loop() {
         return loop;
--- a/src/main/java/gatefront/rehearsal/net/Machine.java
+++ b/src/main/java/gatefront/rehearsal/net/Machine.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal.net;
 
 import gatefront.transport.Transport;
+import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 
 /** A machine with one process on it: what a rehearsal can do to it. */
@@ -14,6 +15,12 @@
     /** One of its addresses. */
     InetSocketAddress at(int port);
 
+    /**
+     * Nanoseconds of its process's clock at which the other side sent what a handler of this channel is being told
+     * of; where that is not known, the earliest time that it can have been.
+     */
+    long sentAt(Channel channel);
+
     /** Whether a process runs here. */
     boolean running();
 
--- a/src/main/java/gatefront/rehearsal/net/Network.java
+++ b/src/main/java/gatefront/rehearsal/net/Network.java
@@ -73,7 +73,7 @@
      * @param channel whose handler asks
      * @return nanoseconds of the channel's clock
      */
-    public static long sentAt(Channel channel) {
+    static long sentAt(Channel channel) {
         return channel instanceof MemoryChannel here ? here.sentAt() : channel.eventLoop().ticker().nanoTime();
     }
 
--- a/src/main/java/gatefront/rehearsal/net/VirtualTime.java
+++ b/src/main/java/gatefront/rehearsal/net/VirtualTime.java
@@ -41,6 +41,7 @@
     final class Loop extends ManualIoEventLoop {
         private final String name;
         private boolean dead;
+        private int dropped;
 
         private Loop(String name) {
             super(null, thread, LocalIoHandler.newFactory(), VirtualTime.this);
@@ -51,6 +52,17 @@
         void kill() {
             dead = true;
             loops.remove(this);
+            long present = now;
+            now = Long.MAX_VALUE / 2; // the queue gives out only what is due
+            while (pollScheduledTask(now) != null) {
+                dropped++;
+            }
+            now = present;
+        }
+
+        /** How many timers it still had when it was killed. */
+        int dropped() {
+            return dropped;
         }
 
         boolean isDead() {
