Engine apart from protocols: Call, Front and Upstream; HTTP is one of each

Agent held the life of a request beside the life of a process, and both in terms of HTTP.

Change: gatefront.engine (Engine, Call, Exchange, Front, Upstream) knows no protocol; gatefront.connection has what fronts and upstreams share (limits on callers' connections, pools to servers, an attempt's life); gatefront.http is HttpFront and HttpUpstream on top of them; Agent starts, wires and ends.

--- a/src/main/java/gatefront/agent/Warmup.java
+++ b/src/main/java/gatefront/agent/Warmup.java
@@ -1,8 +1,8 @@
 package gatefront.agent;
 
 import gatefront.config.Config;
-import gatefront.http.Backends;
-import gatefront.http.ClientServer;
+import gatefront.http.HttpUpstream;
+import gatefront.http.HttpFront;
 import gatefront.policy.Balancer;
 import gatefront.policy.Rules;
 import gatefront.transport.Transport;
@@ -39,18 +39,18 @@
     private final Transport transport;
     private final EventLoop loop;
     private final Config config;
-    private final Backends backends;
-    private final ClientServer clients;
+    private final HttpUpstream backends;
+    private final HttpFront clients;
     private final IntConsumer then;
     private final Balancer module;
-    private final Backends.Outgoing outgoing;
-    private final Backends.Outgoing ends;
+    private final HttpUpstream.Outgoing outgoing;
+    private final HttpUpstream.Outgoing ends;
     private int begun;
     private int out;
     private int answered;
     private boolean over;
 
-    private Warmup(Transport transport, Config config, Backends backends, ClientServer clients,
+    private Warmup(Transport transport, Config config, HttpUpstream backends, HttpFront clients,
                    IntConsumer then) {
         this.transport = transport;
         this.loop = transport.loop();
@@ -59,14 +59,14 @@
         this.clients = clients;
         this.then = then;
         this.module = new Rules(config.settings(), config.seed(), micros(), this);
-        this.outgoing = new Backends.Outgoing(HttpMethod.GET, "/healthz", example().headers()
-            .remove("Request-Id"), Backends.NO_BODY);
-        this.ends = new Backends.Outgoing(HttpMethod.GET, "/healthz",
-            outgoing.headers().copy().set("Connection", "close"), Backends.NO_BODY);
+        this.outgoing = new HttpUpstream.Outgoing(HttpMethod.GET, "/healthz", example().headers()
+            .remove("Request-Id"), HttpUpstream.NO_BODY);
+        this.ends = new HttpUpstream.Outgoing(HttpMethod.GET, "/healthz",
+            outgoing.headers().copy().set("Connection", "close"), HttpUpstream.NO_BODY);
     }
 
     /** Warms up on the loop and tells there, when that is over, how many requests were answered. */
-    static void run(Transport transport, Config config, Backends backends, ClientServer clients,
+    static void run(Transport transport, Config config, HttpUpstream backends, HttpFront clients,
                     IntConsumer then) {
         new Warmup(transport, config, backends, clients, then).start();
     }
@@ -115,7 +115,7 @@
             safe ? HttpMethod.GET : HttpMethod.POST, "/" + config.classes().get(0));
         HttpHeaders headers = request.headers();
         headers.set("Host", "self").set("Request-Id", "warm").set("Request-Class", config.classes().get(0))
-            .set("Work-Hint", "1000").set(Backends.REQUEST_TIMEOUT, "1000");
+            .set("Work-Hint", "1000").set(HttpUpstream.REQUEST_TIMEOUT, "1000");
         if (!config.tenants().isEmpty()) {
             headers.set("Tenant", config.tenants().get(0));
         }
--- /dev/null
+++ b/src/main/java/gatefront/connection/LoadReport.java
@@ -0,0 +1,50 @@
+package gatefront.connection;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the load reports of servers: {@code name=value} pairs behind commas. */
+public final class LoadReport {
+    private static final double[] NONE = new double[0];
+    /** The names of the values as servers write them, where the settings say otherwise. */
+    private static final Map<String, String> WRITTEN = Map.of("concurrent", "inflight", "depth", "queue",
+        "load_share", "util", "mean_ms", "latency_ms", "tps", "qps", "err_ps", "eps");
+
+    private final List<String> fields;
+
+    /** Reports of these fields, by the settings' names. */
+    public LoadReport(List<String> fields) {
+        this.fields = List.copyOf(fields);
+    }
+
+    /** The values in the order of the fields; none, if there is no report, or one that is none. */
+    public double[] read(String text) {
+        if (text == null || fields.isEmpty()) {
+            return NONE;
+        }
+        Map<String, Double> values = new HashMap<>();
+        for (String pair : text.split(",")) {
+            int equals = pair.indexOf('=');
+            try {
+                double value = Double.parseDouble(pair.substring(equals + 1).trim());
+                if (!(value >= 0 && value < Double.POSITIVE_INFINITY)) {
+                    return NONE; // Guards against a figure that is none poisoning every mean it enters.
+                }
+                values.put(pair.substring(0, Math.max(0, equals)).trim(), value);
+            } catch (NumberFormatException e) {
+                return NONE;
+            }
+        }
+        List<Double> load = new ArrayList<>();
+        for (String name : fields) {
+            Double value = values.getOrDefault(name, values.get(WRITTEN.getOrDefault(name, name)));
+            if (value == null) {
+                return NONE;
+            }
+            load.add(value);
+        }
+        return load.stream().mapToDouble(Double::doubleValue).toArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -0,0 +1,380 @@
+package gatefront.connection;
+
+import gatefront.engine.Payload;
+import gatefront.engine.Upstream;
+import gatefront.membership.Endpoint;
+import gatefront.policy.Balancer;
+import gatefront.policy.Balancer.Outcome;
+import gatefront.transport.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The connections to the servers: a pool for each, one attempt a connection at a time. What a protocol adds is how a
+ * request is written and what an arrival means. All of it runs on the agent's event loop, and every result is queued
+ * there, not handed over in a call.
+ */
+public abstract class PooledUpstream implements Upstream {
+    /** No load report. */
+    protected static final double[] NO_LOAD = new double[0];
+    /** The part of the servers' idle time after which a connection is not used again. */
+    private static final double IDLE_PART = 0.75;
+    private static final long SWEEP_SECONDS = 1;
+    /**
+     * A connection rests for this long after an answer. Guards against a second copy or noise right behind
+     * the answer, which would be taken for the answer of the next request: it shows in that time.
+     */
+    private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+    private static final long PROBE_TIMEOUT_MICROS = 250_000;
+
+    private final Transport transport;
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final long idleNanos;
+    private final int connectionsMost;
+    /** By server, from its first line as ready until it drains or goes. */
+    private final Map<Long, Pool> pools = new HashMap<>();
+    private int connections;
+
+    /** What is kept for one server at one address. */
+    private static final class Pool {
+        final InetSocketAddress address;
+        final long restNanos;
+        /** Most recently used first: what is not needed grows old and is closed. */
+        final Deque<Connection> idle = new ArrayDeque<>();
+        final Set<Attempt> connecting = new LinkedHashSet<>();
+        boolean retired;
+
+        Pool(InetSocketAddress address, long restNanos) {
+            this.address = address;
+            this.restNanos = restNanos;
+        }
+
+        void closeIdle() {
+            while (!idle.isEmpty()) {
+                idle.pollFirst().channel.close();
+            }
+        }
+    }
+
+    /**
+     * Nothing is connected yet.
+     *
+     * @param transport its loop, clock and network
+     * @param connectionsMost connections held at the most
+     * @param connectTimeoutMicros a connection not up by then has failed
+     * @param idleCloseMicros servers close a connection that has been idle for this long
+     */
+    protected PooledUpstream(Transport transport, int connectionsMost, long connectTimeoutMicros,
+                             long idleCloseMicros) {
+        this.transport = transport;
+        this.loop = transport.loop();
+        this.connectionsMost = connectionsMost;
+        this.idleNanos = (long) (1000 * IDLE_PART * idleCloseMicros);
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(transport.dialers())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutMicros / 1000))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .disableResolver(); // addresses are literal; the usual resolvers would keep the loop for ever
+        loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
+    }
+
+    // ---- What a protocol adds ----
+
+    /** Sets up a new connection: what reads ends the {@link Connection#attempt()} there is. */
+    protected abstract void init(Connection connection, ChannelPipeline pipeline);
+
+    /**
+     * What is written for a request.
+     *
+     * @param request as it was handed in
+     * @param connection that it goes out on
+     * @param millisLeft of its time, at least 1; 0 if it has no limit
+     */
+    protected abstract Object message(Payload request, Connection connection, long millisLeft);
+
+    /** The request that asks for a server's health. */
+    protected abstract Payload probe();
+
+    /** Where a listed server is reached by this protocol, or null if it is not. */
+    protected InetSocketAddress address(Endpoint endpoint) {
+        return endpoint.address();
+    }
+
+    // ---- Servers ----
+
+    @Override
+    public void listed(Endpoint endpoint) {
+        long id = endpoint.server().id();
+        Pool pool = pools.get(id);
+        InetSocketAddress address = address(endpoint);
+        if (endpoint.server().phase() != Balancer.Phase.READY || address == null) {
+            gone(id);
+        } else if (pool == null || !pool.address.equals(address)) {
+            gone(id); // Guards against using what leads to the address that it had before.
+            pools.put(id, new Pool(address, REST_NANOS));
+        }
+    }
+
+    /** The agent itself as a server: nothing but its answers comes from it, so connections need no rest. */
+    public void self(long id, InetSocketAddress address) {
+        pools.put(id, new Pool(address, 0));
+    }
+
+    /**
+     * Nothing new goes to this server, and nothing is kept for it but by the attempts that are out. Guards
+     * against a request that is written when its connection comes up only after the drain was told, and
+     * against memory and connections kept for servers that will never come back.
+     */
+    @Override
+    public void gone(long server) {
+        Pool pool = pools.remove(server);
+        if (pool != null) {
+            pool.retired = true;
+            List.copyOf(pool.connecting).forEach(each -> each.end(Outcome.NEVER_SENT));
+            pool.closeIdle();
+        }
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        Pool pool = pools.get(server);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
+    @Override
+    public int size() {
+        return pools.size();
+    }
+
+    private void closeOld() {
+        for (Pool pool : pools.values()) {
+            while (!pool.idle.isEmpty() && pool.idle.peekLast().old()) {
+                pool.idle.pollLast().channel.close();
+            }
+        }
+    }
+
+    /** Makes room under the limit on sockets by closing the connection that has been idle for longest. */
+    private boolean roomForOne() {
+        if (connections < connectionsMost) {
+            return true;
+        }
+        Connection oldest = null;
+        for (Pool pool : pools.values()) {
+            Connection last = pool.idle.peekLast();
+            if (last != null && (oldest == null || last.idleSince - oldest.idleSince < 0)) {
+                oldest = last;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.channel.close();
+        return connections < connectionsMost;
+    }
+
+    /** Takes the most recently used connection that has rested and was silent meanwhile, or none. */
+    private Connection rested(Pool pool) {
+        for (Connection each : List.copyOf(pool.idle)) {
+            if (transport.nanos() - each.idleSince >= pool.restNanos) {
+                pool.idle.remove(each);
+                if (!each.old() && transport.silent(each.channel)) {
+                    return each;
+                }
+                each.channel.close();
+            }
+        }
+        return null;
+    }
+
+    // ---- Attempts ----
+
+    @Override
+    public Upstream.Attempt send(long server, Payload request, long timeoutMicros, Consumer<Result> then) {
+        Attempt attempt = new Attempt(request, timeoutMicros, then);
+        attempt.start(server);
+        return attempt;
+    }
+
+    @Override
+    public void probe(long server, Consumer<Result> then) {
+        new Attempt(probe(), PROBE_TIMEOUT_MICROS, then).start(server);
+    }
+
+    /** One request on its way to a server, or a probe. */
+    protected final class Attempt implements Upstream.Attempt {
+        private final Payload request;
+        private final Consumer<Result> then;
+        private final long endAt;
+        private final boolean limited;
+        private final Future<?> timer;
+        private Pool pool;
+        private Connection connection;
+        private Channel dialled;
+        private boolean written;
+        private boolean ended;
+
+        private Attempt(Payload request, long timeoutMicros, Consumer<Result> then) {
+            this.request = request;
+            this.then = then;
+            this.limited = timeoutMicros > 0;
+            this.endAt = transport.nanos() + 1000 * timeoutMicros;
+            this.timer = limited
+                ? loop.schedule(() -> end(Outcome.TIMEOUT), timeoutMicros, TimeUnit.MICROSECONDS) : null;
+        }
+
+        /** What was handed in. */
+        public Payload request() {
+            return request;
+        }
+
+        /** Whether its last byte has left. */
+        public boolean written() {
+            return written;
+        }
+
+        private void start(long server) {
+            pool = pools.get(server);
+            if (pool == null) {
+                end(Outcome.NEVER_SENT);
+                return;
+            }
+            Connection idle = rested(pool);
+            if (idle != null) {
+                write(idle);
+            } else if (roomForOne()) {
+                connect();
+            } else {
+                end(Outcome.NEVER_SENT); // Guards against running out of descriptors.
+            }
+        }
+
+        private void connect() {
+            Connection fresh = new Connection(pool);
+            pool.connecting.add(this);
+            connections++;
+            var connecting = bootstrap.clone().handler(fresh).connect(pool.address);
+            dialled = connecting.channel();
+            dialled.closeFuture().addListener(closed -> connections--);
+            connecting.addListener(done -> {
+                pool.connecting.remove(this);
+                if (ended) {
+                    dialled.close();
+                } else if (done.isSuccess()) {
+                    write(fresh);
+                } else {
+                    end(Outcome.CONNECT_FAILED);
+                }
+            });
+        }
+
+        private void write(Connection to) {
+            connection = to;
+            to.attempt = this;
+            long millisLeft = limited ? Math.max(1, (endAt - transport.nanos()) / 1_000_000) : 0;
+            to.channel.writeAndFlush(message(request, to, millisLeft)).addListener(done -> {
+                written |= done.isSuccess();
+                if (!done.isSuccess()) {
+                    end(Outcome.CONNECT_FAILED); // the last byte never left, so it cannot have begun
+                }
+            });
+        }
+
+        /** The connection has ended under the attempt. Before its last byte was written it did not run. */
+        public void broken() {
+            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+
+        @Override
+        public void cancel() {
+            end(Outcome.CANCELLED);
+        }
+
+        private void end(Outcome outcome) {
+            end(new Result(outcome, NO_LOAD, null, null), false);
+        }
+
+        /**
+         * It has ended; what comes after its first end is disregarded.
+         *
+         * @param result how
+         * @param reusable whether another attempt may follow on the connection
+         */
+        public void end(Result result, boolean reusable) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            if (pool != null) {
+                pool.connecting.remove(this);
+            }
+            if (connection != null) {
+                connection.attempt = null;
+                if (reusable && written && !pool.retired) {
+                    connection.idleSince = transport.nanos();
+                    pool.idle.addFirst(connection);
+                } else {
+                    connection.channel.close(); // what may still come on it belongs to nobody
+                }
+            } else if (dialled != null) {
+                dialled.close();
+            }
+            loop.execute(() -> then.accept(result));
+        }
+    }
+
+    /** One connection to a server. */
+    protected final class Connection extends ChannelInitializer<Channel> {
+        private final Pool pool;
+        private Channel channel;
+        private Attempt attempt;
+        private long idleSince;
+
+        private Connection(Pool pool) {
+            this.pool = pool;
+        }
+
+        /** The attempt that uses it, or null. */
+        public Attempt attempt() {
+            return attempt;
+        }
+
+        private boolean old() {
+            return transport.nanos() - idleSince >= idleNanos;
+        }
+
+        @Override
+        protected void initChannel(Channel ch) {
+            channel = ch;
+            init(this, ch.pipeline());
+        }
+
+        /** It is no more: what reads it calls this, once it has said all that it had read. */
+        public void ended() {
+            pool.idle.remove(this);
+            if (attempt != null) {
+                attempt.broken();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/engine/Call.java
@@ -0,0 +1,16 @@
+package gatefront.engine;
+
+/**
+ * What a caller asks, protocol aside, its names resolved to the settings' indexes.
+ *
+ * @param id as the caller gave it; one of a name is held at a time, whatever protocols they came by
+ * @param requestClass index of its class
+ * @param tenant index of its tenant
+ * @param key for affinity, 0 if not given
+ * @param hint of its cost, 0 if not given
+ * @param timeoutMs the caller's time, in milliseconds from now
+ * @param repeated whether the caller says that it has asked before
+ * @param payload what goes to the server
+ */
+public record Call(String id, int requestClass, int tenant, long key, long hint, long timeoutMs, boolean repeated,
+                   Payload payload) { }
--- /dev/null
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -0,0 +1,333 @@
+package gatefront.engine;
+
+import gatefront.membership.Endpoint;
+import gatefront.policy.Balancer;
+import gatefront.policy.Rules;
+import gatefront.transport.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Hosts the decision module: the one place where events enter it, and where its actions become attempts and
+ * answers. It knows no protocol. One event loop thread owns it and the module.
+ */
+public final class Engine implements Balancer.Actions, Front.Listener {
+    /** When a caller that is refused should come back, where the module does not say: in a moment. */
+    public static final long RETRY_AFTER_MICROS = 250_000;
+    /** Of the caller's time, what the answer's way back and a late wake-up may take. */
+    private static final long MARGIN_MICROS = 10_000;
+    private static final Pattern SERVER = Pattern.compile("^server (-?\\d+)");
+
+    private final Transport transport;
+    private final EventLoop loop;
+    private final Balancer.Settings settings;
+    private final long seed;
+    private final Upstream upstream;
+    private final Source source;
+    private final Balancer balancer;
+    /**
+     * Calls taken and not yet done with, by the module's ids, by their exchanges and by their callers' ids: each
+     * goes when it is answered and no attempt is out, which its own guard sees to at its deadline at the latest.
+     */
+    private final Map<Long, Pending> open = new HashMap<>();
+    private final Map<Exchange, Pending> byExchange = new HashMap<>();
+    private final Map<String, Pending> byName = new HashMap<>();
+    /** Of the servers listed; each goes when the list says so. */
+    private final Map<Long, String> names = new HashMap<>();
+    /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
+    private final long anchorMicros;
+    private long nextId = 1;
+    private boolean deciding;
+
+    /** Where the list of servers comes from, as the module may ask for it. */
+    public interface Source {
+        /** Subscribes to changes. */
+        void watch();
+
+        /** Asks for the whole list once. */
+        void fetch();
+    }
+
+    /** What is held: calls taken, attempts out, and servers that something is kept for. */
+    public record Held(int requests, int attempts, int servers) { }
+
+    /** A call taken and not yet done with. */
+    private static final class Pending {
+        final long id;
+        final Call call;
+        final Exchange exchange;
+        final List<Upstream.Attempt> attempts = new ArrayList<>(1);
+        int out;
+        boolean answered;
+        Future<?> guard;
+
+        Pending(long id, Call call, Exchange exchange) {
+            this.id = id;
+            this.call = call;
+            this.exchange = exchange;
+        }
+    }
+
+    /**
+     * An engine that holds nothing yet.
+     *
+     * @param transport its loop, clock and log
+     * @param settings for the decision module
+     * @param seed for its random choices
+     * @param upstream the way to the servers
+     * @param source where the list comes from; it may be asked before this returns
+     * @param module makes the decision module
+     */
+    public Engine(Transport transport, Balancer.Settings settings, long seed, Upstream upstream, Source source,
+                  Function<Engine, Balancer> module) {
+        this.transport = transport;
+        this.settings = settings;
+        this.seed = seed;
+        this.loop = transport.loop();
+        this.upstream = upstream;
+        this.source = source;
+        this.anchorMicros = transport.wallMicros() - transport.nanos() / 1000;
+        this.balancer = module.apply(this);
+    }
+
+    /** The decision module in service. */
+    public static Balancer usual(Engine engine) {
+        return new Rules(engine.settings, engine.seed, engine.now(), engine);
+    }
+
+    /** Microseconds of the clock that the module sees. */
+    public long now() {
+        return anchorMicros + transport.nanos() / 1000;
+    }
+
+    /** What it holds now; to be asked on its loop. */
+    public Held held() {
+        return new Held(Math.max(open.size(), Math.max(byExchange.size(), byName.size())),
+            open.values().stream().mapToInt(each -> each.out).sum(), servers());
+    }
+
+    /** How many servers something is kept for; to be asked on its loop. */
+    public int servers() {
+        return Math.max(names.size(), upstream.size());
+    }
+
+    /** Answers all that is still held, as out of time. */
+    public void giveUpAll() {
+        List.copyOf(open.values()).forEach(each -> giveUp(each, Exchange.Failure.TIME_UP));
+    }
+
+    // ---- Events ----
+
+    /** Lets an event into the module. One that arises inside another waits its turn on the loop. */
+    private void event(Runnable event) {
+        event(null, event);
+    }
+
+    /** The same for an event of one call, which is given up if the module fails over it. */
+    private void event(Pending pending, Runnable event) {
+        if (deciding) {
+            loop.execute(() -> event(pending, event));
+            return;
+        }
+        deciding = true;
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            say("module: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+            if (pending != null) {
+                loop.execute(() -> giveUp(pending, Exchange.Failure.INTERNAL));
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    /** Guards against a call that the module has lost by a fault of its own: it is still failed once. */
+    private void giveUp(Pending pending, Exchange.Failure why) {
+        if (!pending.answered) {
+            say("request given up: " + why);
+            pending.exchange.failed(why);
+            answered(pending);
+            event(() -> balancer.clientLeft(now(), pending.id));
+            abandon(pending);
+        }
+    }
+
+    /** The list of servers has changed; {@link Balancer.ListKind#FAILED} and no entries if it could not be had. */
+    public void servers(Balancer.ListKind kind, List<Endpoint> endpoints) {
+        Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA || kind == Balancer.ListKind.FAILED
+            ? Set.of() : names.keySet());
+        for (Endpoint endpoint : endpoints) {
+            long id = endpoint.server().id();
+            gone.remove(id);
+            names.put(id, endpoint.name());
+            upstream.listed(endpoint);
+        }
+        gone.forEach(upstream::gone);
+        List<Balancer.Server> entries = endpoints.stream().map(Endpoint::server).toList();
+        event(() -> balancer.servers(now(), kind, entries));
+        endpoints.stream().map(Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
+            .forEach(each -> gone.add(each.id()));
+        names.keySet().removeAll(gone);
+    }
+
+    @Override
+    public void call(Call call, Exchange exchange) {
+        // Guards against an effect twice, and against one call getting the other's answer: the second is
+        // not passed on, whoever sent it and by whatever protocol, and the first goes on unharmed.
+        if (byName.containsKey(call.id())) {
+            exchange.failed(Exchange.Failure.DUPLICATE);
+            return;
+        }
+        long id = nextId++;
+        Pending pending = new Pending(id, call, exchange);
+        open.put(id, pending);
+        byExchange.put(exchange, pending);
+        byName.put(call.id(), pending);
+        long left = Math.max(0, 1000 * call.timeoutMs() - MARGIN_MICROS);
+        pending.guard = loop.schedule(() -> giveUp(pending, Exchange.Failure.TIME_UP), left,
+            TimeUnit.MICROSECONDS);
+        long deadline = now() + left;
+        Balancer.Request request = new Balancer.Request(id, call.requestClass(), call.tenant(), call.key(),
+            call.hint(), deadline, call.repeated(), false);
+        event(pending, () -> balancer.request(now(), request));
+    }
+
+    @Override
+    public void callerLeft(Exchange exchange) {
+        Pending pending = byExchange.get(exchange);
+        if (pending != null && !pending.answered) {
+            answered(pending);
+            event(() -> balancer.clientLeft(now(), pending.id));
+            abandon(pending);
+        }
+    }
+
+    /** Ends the attempts that outlive their caller, where the module has left them. */
+    private void abandon(Pending pending) {
+        pending.attempts.forEach(Upstream.Attempt::cancel);
+    }
+
+    private void outcome(Pending pending, int attempt, long server, long sentAt, Upstream.Result result) {
+        pending.out--;
+        // Guards against asking every server what one has found to be no good, and against blaming it.
+        boolean bad = result.rejected() != null;
+        if (!pending.answered && bad) {
+            pending.exchange.rejected(result.rejected());
+            answered(pending);
+        } else if (!pending.answered && result.served() != null) {
+            pending.exchange.served(result.served());
+            answered(pending);
+        }
+        Balancer.Outcome outcome = bad ? Balancer.Outcome.CANCELLED : result.outcome();
+        forget(pending);
+        event(pending, () -> balancer.outcome(now(), pending.id, attempt, server, outcome,
+            now() - sentAt, pending.answered, result.load()));
+    }
+
+    private void answered(Pending pending) {
+        pending.answered = true;
+        pending.guard.cancel(false);
+        byExchange.remove(pending.exchange);
+        forget(pending);
+    }
+
+    private void forget(Pending pending) {
+        if (pending.answered && pending.out == 0) {
+            open.remove(pending.id);
+            byName.remove(pending.call.id(), pending);
+        }
+    }
+
+    // ---- Actions ----
+
+    @Override
+    public void send(long request, long server, long timeout) {
+        Pending pending = open.get(request);
+        if (pending == null || pending.answered) {
+            return;
+        }
+        int attempt = pending.attempts.size();
+        long sentAt = now();
+        pending.out++;
+        pending.attempts.add(upstream.send(server, pending.call.payload(), timeout,
+            result -> outcome(pending, attempt, server, sentAt, result)));
+    }
+
+    @Override
+    public void refuse(long request, long retryAfter) {
+        Pending pending = open.get(request);
+        if (pending != null && !pending.answered) {
+            pending.exchange.refused(retryAfter > 0 ? retryAfter : RETRY_AFTER_MICROS);
+            answered(pending);
+        }
+    }
+
+    @Override
+    public void fail(long request) {
+        Pending pending = open.get(request);
+        if (pending != null && !pending.answered) {
+            pending.exchange.failed(Exchange.Failure.NOT_SERVED);
+            answered(pending);
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Pending pending = open.get(request);
+        if (pending != null && attempt < pending.attempts.size()) {
+            pending.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void probe(long server) {
+        long sentAt = now();
+        upstream.probe(server, result -> event(() ->
+            balancer.probed(now(), server, result.outcome(), now() - sentAt, result.load())));
+    }
+
+    @Override
+    public void tell(int agent, byte[] message) { } // the module sends no messages
+
+    @Override
+    public void timer(long token, long delay) {
+        loop.schedule(() -> event(() -> balancer.timer(now(), token)), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        upstream.closeIdle(server);
+    }
+
+    @Override
+    public void watchServers() {
+        loop.execute(source::watch);
+    }
+
+    @Override
+    public void fetchServers() {
+        loop.execute(source::fetch);
+    }
+
+    @Override
+    public void log(String line) {
+        say(SERVER.matcher(line).replaceFirst(match ->
+            Matcher.quoteReplacement("server " + names.get(Long.valueOf(match.group(1))))));
+    }
+
+    private void say(String line) {
+        transport.log(line);
+    }
+}
--- a/src/main/java/gatefront/rehearsal/CallerStand.java
+++ b/src/main/java/gatefront/rehearsal/CallerStand.java
@@ -240,7 +240,8 @@
             current = null;
             int status = response.status().code();
             String body = response.content().toString(StandardCharsets.US_ASCII);
-            day.checker.answered(day.micros(machine.sentAt(ctx.channel())), made.id, status, status == 200 ? body : null);
+            long at = day.micros(machine.sentAt(ctx.channel()));
+            day.checker.answered(at, made.id, status, status == 200 ? body : null);
             if (HttpUtil.isKeepAlive(response)) {
                 used = true;
                 idle.addLast(this);
--- a/src/main/java/gatefront/rehearsal/Rehearsal.java
+++ b/src/main/java/gatefront/rehearsal/Rehearsal.java
@@ -1,6 +1,6 @@
 package gatefront.rehearsal;
 
-import gatefront.agent.Agent;
+import gatefront.engine.Engine;
 import gatefront.policy.Balancer;
 import gatefront.rehearsal.net.Host;
 import gatefront.rehearsal.net.Links;
@@ -38,7 +38,7 @@
 
     private final Plan plan;
     private final long seed;
-    private final Function<Agent, Balancer> module;
+    private final Function<Engine, Balancer> module;
     private DoubleConsumer progress = done -> { };
     private UnaryOperator<Transport> outside = UnaryOperator.identity();
 
@@ -49,11 +49,11 @@
      * @param seed from which all else follows
      */
     public Rehearsal(Plan plan, long seed) {
-        this(plan, seed, Agent::usual);
+        this(plan, seed, Engine::usual);
     }
 
     /** A rehearsal with another decision module, as tests have it. */
-    public Rehearsal(Plan plan, long seed, Function<Agent, Balancer> module) {
+    public Rehearsal(Plan plan, long seed, Function<Engine, Balancer> module) {
         this.plan = plan;
         this.seed = seed;
         this.module = module;
@@ -152,7 +152,7 @@
     /** Nothing goes on any more: what is held now is held for nobody. */
     private void end(Day day, VirtualTime time, long at) {
         for (AgentStand each : day.agents) {
-            Agent.Held held = ((VirtualAgent) each).held();
+            Engine.Held held = ((VirtualAgent) each).held();
             if (held != null && (held.requests() > 0 || held.attempts() > 0)) {
                 day.checker.left(day.now(), each.name() + " still holds " + held.requests() + " requests and "
                     + held.attempts() + " attempts");
--- a/src/main/java/gatefront/rehearsal/Shrink.java
+++ b/src/main/java/gatefront/rehearsal/Shrink.java
@@ -1,6 +1,6 @@
 package gatefront.rehearsal;
 
-import gatefront.agent.Agent;
+import gatefront.engine.Engine;
 import gatefront.policy.Balancer;
 import gatefront.rehearsal.check.RuleChecker.Rule;
 import gatefront.rehearsal.plan.Fault;
@@ -22,11 +22,11 @@
     private static final double RATE_LEAST = 1;
 
     private final long seed;
-    private final Function<Agent, Balancer> module;
+    private final Function<Engine, Balancer> module;
     private final Set<Rule> rules;
     private final Consumer<String> listener;
 
-    private Shrink(long seed, Function<Agent, Balancer> module, Set<Rule> rules, Consumer<String> listener) {
+    private Shrink(long seed, Function<Engine, Balancer> module, Set<Rule> rules, Consumer<String> listener) {
         this.seed = seed;
         this.module = module;
         this.rules = rules;
@@ -42,10 +42,10 @@
      * @return the smallest plan found that still breaks one of the rules, or null if the seed breaks none
      */
     public static Plan shrink(Plan plan, long seed, Consumer<String> listener) {
-        return shrink(plan, seed, Agent::usual, listener);
+        return shrink(plan, seed, Engine::usual, listener);
     }
 
-    static Plan shrink(Plan plan, long seed, Function<Agent, Balancer> module, Consumer<String> listener) {
+    static Plan shrink(Plan plan, long seed, Function<Engine, Balancer> module, Consumer<String> listener) {
         Plan fixed = plan.with(frozen(plan, seed));
         Outcome whole = new Rehearsal(fixed, seed, module).play();
         if (whole.broken() == 0) {
--- a/src/main/java/gatefront/rehearsal/VirtualAgent.java
+++ b/src/main/java/gatefront/rehearsal/VirtualAgent.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal;
 
 import gatefront.agent.Agent;
+import gatefront.engine.Engine;
 import gatefront.config.Config;
 import gatefront.policy.Balancer;
 import gatefront.rehearsal.net.Machine;
@@ -12,12 +13,12 @@
 final class VirtualAgent extends AgentStand {
     private final Machine machine;
     private final UnaryOperator<Transport> outside;
-    private final Function<Agent, Balancer> module;
+    private final Function<Engine, Balancer> module;
     private Agent agent;
     private Runnable ended = () -> { };
 
     VirtualAgent(Day day, int number, Machine machine, UnaryOperator<Transport> outside,
-                 Function<Agent, Balancer> module) {
+                 Function<Engine, Balancer> module) {
         super(day, number);
         this.machine = machine;
         this.outside = outside;
@@ -79,7 +80,7 @@
     }
 
     /** What it holds, or null if it does not run. */
-    Agent.Held held() {
+    Engine.Held held() {
         return agent == null ? null : agent.held();
     }
 }
--- a/src/test/java/gatefront/agent/Stage.java
+++ b/src/test/java/gatefront/agent/Stage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.engine.Engine;
 import gatefront.config.Config;
 import gatefront.policy.Balancer;
 import gatefront.policy.Rules;
@@ -89,14 +90,14 @@
         return this;
     }
 
-    Stage start(Function<Agent, Balancer> module) throws IOException {
+    Stage start(Function<Engine, Balancer> module) throws IOException {
         agent = Agent.start(Config.of(config), module);
         awaitReady();
         return this;
     }
 
     /** The usual module behind one that is told of each event before it, and may fail. */
-    Function<Agent, Balancer> overheard(BiConsumer<String, Object[]> before) {
+    Function<Engine, Balancer> overheard(BiConsumer<String, Object[]> before) {
         return agent -> {
             Balancer rules = new Rules(Config.of(config).settings(), 1, 0, agent);
             return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gatefront.agent.Agent;
+import gatefront.engine.Engine;
 import gatefront.policy.Balancer;
 import gatefront.rehearsal.check.RuleChecker.Breach;
 import gatefront.rehearsal.check.RuleChecker.Rule;
@@ -24,11 +24,11 @@
     /** A module that does one thing wrong and the rest right. */
     abstract static class Faulty implements Balancer {
         final Balancer right;
-        final Agent agent;
+        final Engine agent;
 
-        Faulty(Agent agent) {
+        Faulty(Engine agent) {
             this.agent = agent;
-            this.right = Agent.usual(agent);
+            this.right = Engine.usual(agent);
         }
 
         @Override
@@ -69,7 +69,7 @@
         }
     }
 
-    private static gatefront.rehearsal.Outcome play(String plan, double seconds, Function<Agent, Balancer> module)
+    private static gatefront.rehearsal.Outcome play(String plan, double seconds, Function<Engine, Balancer> module)
             throws Exception {
         return new Rehearsal(PlanReader.builtIn(plan).withSeconds(seconds), 1, module).play();
     }
@@ -86,12 +86,12 @@
         return new Range(figure, figure);
     }
 
-    private static gatefront.rehearsal.Outcome play(Plan plan, Function<Agent, Balancer> module) {
+    private static gatefront.rehearsal.Outcome play(Plan plan, Function<Engine, Balancer> module) {
         return new Rehearsal(plan, 1, module).play();
     }
 
     /** Refuses what has failed, whatever it may have done. */
-    private static Balancer refuses(Agent agent) {
+    private static Balancer refuses(Engine agent) {
         return new Faulty(agent) {
             @Override
             public void outcome(long now, long request, int attempt, long server, Outcome outcome, long spent,
