--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -2,11 +2,16 @@
 
 import gatefront.config.Config;
 import gatefront.engine.Engine;
+import gatefront.engine.Front;
+import gatefront.engine.Upstream;
 import gatefront.http.HttpFront;
 import gatefront.http.HttpUpstream;
 import gatefront.membership.Endpoint;
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
+import gatefront.thrift.ThriftFront;
+import gatefront.thrift.ThriftSettings;
+import gatefront.thrift.ThriftUpstream;
 import gatefront.transport.SocketTransport;
 import gatefront.transport.Transport;
 import io.netty.channel.ChannelFuture;
@@ -14,6 +19,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -48,6 +54,8 @@
     private final HttpUpstream backends;
     private final Discovery discovery;
     private final HttpFront clients;
+    /** All of them, that over HTTP first. */
+    private final List<Front> fronts = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
     private volatile Runnable whenEnded = () -> { };
@@ -57,12 +65,16 @@
     private boolean warm;
     private int warmedBy;
 
-    private Agent(Config config, Transport transport, Function<Engine, Balancer> module) {
+    private Agent(Config config, ThriftSettings thrift, Transport transport, Function<Engine, Balancer> module) {
         this.config = config;
         this.transport = transport;
         loop = transport.loop();
-        int each = (config.sockets() - SOCKETS_RESERVED) / 2;
+        int each = (config.sockets() - SOCKETS_RESERVED) / (thrift == null ? 2 : 4);
         backends = new HttpUpstream(transport, config, each);
+        List<Upstream> upstreams = new ArrayList<>(List.of(backends));
+        if (thrift != null) {
+            upstreams.add(thrift.probes() ? 0 : 1, new ThriftUpstream(transport, config, thrift, each));
+        }
         discovery = new Discovery(transport, config, new Discovery.Listener() {
             @Override
             public void list(Balancer.ListKind kind, List<Endpoint> endpoints) {
@@ -79,7 +91,7 @@
             }
         });
         // After discovery: the module may ask for the list at once, on the loop, and would find none to ask.
-        engine = new Engine(transport, config.settings(), config.seed(), backends, new Engine.Source() {
+        engine = new Engine(transport, config.settings(), config.seed(), upstreams, new Engine.Source() {
             @Override
             public void watch() {
                 discovery.watch();
@@ -90,19 +102,26 @@
                 discovery.fetch();
             }
         }, module);
-        clients = new HttpFront(transport, config, each, () -> listed && warm, engine);
+        clients = new HttpFront(transport, config, each, this::ready, engine.through(backends));
+        fronts.add(clients);
+        if (thrift != null) {
+            fronts.add(new ThriftFront(transport, config, thrift, each, this::ready,
+                engine.through(upstreams.get(thrift.probes() ? 0 : 1))));
+        }
     }
 
     /**
      * Starts an agent; it listens when this returns.
      *
      * @param config its configuration file
+     * @param extensions the file of our own beside it, or null
      * @return the running agent
-     * @throws IllegalArgumentException if the configuration is unusable; the message is one plain line
-     * @throws IOException if the address cannot be listened on
+     * @throws IllegalArgumentException if a file is unusable; the message is one plain line
+     * @throws IOException if an address cannot be listened on
      */
-    public static Agent start(Path config) throws IOException {
-        return start(Config.read(config));
+    public static Agent start(Path config, Path extensions) throws IOException {
+        Config read = Config.read(config);
+        return start(read, (extensions == null ? Extensions.NONE : Extensions.read(extensions, read)).thrift());
     }
 
     static Agent start(Config config) throws IOException {
@@ -111,13 +130,27 @@
 
     /** With another module than the usual one. */
     static Agent start(Config config, Function<Engine, Balancer> module) throws IOException {
+        return start(config, (ThriftSettings) null, module);
+    }
+
+    /** With Thrift besides, where settings for it are given. */
+    static Agent start(Config config, ThriftSettings thrift) throws IOException {
+        return start(config, thrift, Engine::usual);
+    }
+
+    private static Agent start(Config config, ThriftSettings thrift, Function<Engine, Balancer> module)
+            throws IOException {
         SocketTransport sockets = new SocketTransport();
-        Agent agent = new Agent(config, sockets, module);
-        ChannelFuture bound = agent.listen().awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            sockets.close(() -> { });
-            throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
+        Agent agent = new Agent(config, thrift, sockets, module);
+        for (Front each : agent.fronts) {
+            ChannelFuture bound = each.listen().awaitUninterruptibly();
+            if (!bound.isSuccess()) {
+                sockets.close(() -> { });
+                throw new IOException("cannot listen on " + (each == agent.clients ? config.listen() : thrift.listen())
+                    + ": " + bound.cause().getMessage());
+            }
         }
+        agent.loop.execute(agent::begin);
         return agent;
     }
 
@@ -130,17 +163,13 @@
      * @return the agent, about to listen
      */
     public static Agent start(Config config, Transport transport, Function<Engine, Balancer> module) {
-        Agent agent = new Agent(config, transport, module);
-        agent.listen();
-        return agent;
-    }
-
-    private ChannelFuture listen() {
-        return clients.listen().addListener(done -> {
+        Agent agent = new Agent(config, null, transport, module);
+        agent.clients.listen().addListener(done -> {
             if (done.isSuccess()) {
-                begin();
+                agent.begin();
             }
         });
+        return agent;
     }
 
     private void begin() {
@@ -164,6 +193,20 @@
         });
     }
 
+    /** The same, from any thread. */
+    boolean isReady() {
+        try {
+            return loop.submit(() -> ready()).sync().getNow();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Where it listens for Thrift. */
+    InetSocketAddress thriftAddress() {
+        return (InetSocketAddress) fronts.get(1).channel().localAddress();
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return (InetSocketAddress) clients.channel().localAddress();
@@ -218,7 +261,7 @@
             .orElse(0) / 1000;
         long last = longest + KILL_AFTER_MS - LAST_MS;
         loop.execute(() -> {
-            clients.leave();
+            fronts.forEach(Front::leave);
             loop.schedule(this::endIfUnused, LINGER_MS, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, Math.min(SERVE_ON_MOST_MS, last - CLOSING_MS), TimeUnit.MILLISECONDS);
             loop.schedule(engine::giveUpAll, last, TimeUnit.MILLISECONDS);
@@ -226,7 +269,7 @@
     }
 
     private void endIfUnused() {
-        if (clients.isEmpty()) {
+        if (fronts.stream().allMatch(Front::isEmpty)) {
             end();
         } else {
             loop.schedule(this::endIfUnused, 10, TimeUnit.MILLISECONDS);
@@ -236,16 +279,16 @@
     private void end() {
         if (!ending) {
             ending = true;
-            clients.drain();
-            loop.schedule(clients::stopListening, CLOSING_MS / 2, TimeUnit.MILLISECONDS);
+            fronts.forEach(Front::drain);
+            loop.schedule(() -> fronts.forEach(Front::stopListening), CLOSING_MS / 2, TimeUnit.MILLISECONDS);
             draining();
         }
     }
 
     private void draining() {
         // Answers still being written hold their connections open.
-        if (clients.isEmpty()) {
-            clients.stopListening();
+        if (fronts.stream().allMatch(Front::isEmpty)) {
+            fronts.forEach(Front::stopListening);
             discovery.close();
             transport.close(() -> {
                 ended.countDown();
--- /dev/null
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -0,0 +1,87 @@
+package gatefront.agent;
+
+import gatefront.config.Config;
+import gatefront.thrift.ThriftSettings;
+import gatefront.thrift.ThriftSettings.Method;
+import gatefront.thrift.codec.Encoding;
+import gatefront.thrift.codec.Form;
+import gatefront.toml.Table;
+import gatefront.toml.TomlException;
+import gatefront.toml.TomlFile;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What an installation has beside the platform's configuration, from a TOML file of our own. It is read, and its
+ * reader loaded, only where one is named.
+ *
+ * @param thrift how the agent speaks Thrift, or null if it does not
+ */
+public record Extensions(ThriftSettings thrift) {
+    /** None. */
+    public static final Extensions NONE = new Extensions(null);
+    private static final int PORT_MOST = 65_535;
+    private static final Map<String, Encoding> ENCODINGS = Map.of("binary", Encoding.BINARY, "binary-old",
+        Encoding.BINARY_OLD, "compact", Encoding.COMPACT);
+
+    /**
+     * Reads the file.
+     *
+     * @param path where it is
+     * @param config the platform's configuration, whose classes it names
+     * @return what it says
+     * @throws IllegalArgumentException if it cannot be used; the message is one line with file, line and key
+     */
+    public static Extensions read(Path path, Config config) {
+        try {
+            return parse(path.toString(), TomlFile.text(path, ""), config);
+        } catch (TomlException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    static Extensions parse(String file, String text, Config config) throws TomlException {
+        Table top = TomlFile.parse(file, text);
+        boolean has = top.has("thrift");
+        ThriftSettings thrift = has ? thrift(top.table("thrift"), config) : null;
+        top.finish();
+        return new Extensions(thrift);
+    }
+
+    private static ThriftSettings thrift(Table table, Config config) throws TomlException {
+        InetSocketAddress listen;
+        try {
+            listen = Config.address(table.text("listen", null));
+        } catch (IllegalArgumentException e) {
+            throw table.bad("listen", "is to be a literal address and a port, as in \"127.0.0.1:9090\"");
+        }
+        String framing = table.word("framing", "any", List.of("any", "framed", "unframed"));
+        String protocol = table.word("protocol", "any", List.of("any", "binary", "binary-old", "compact"));
+        if (framing.equals("any") != protocol.equals("any")) {
+            throw table.bad(framing.equals("any") ? "protocol" : "framing",
+                "framing and protocol are both told from the first bytes, or both fixed");
+        }
+        Form form = framing.equals("any") ? null : new Form(framing.equals("framed"), ENCODINGS.get(protocol));
+        int port = table.whole("nodo_port", -1, 1, PORT_MOST);
+        if (!table.has("nodo_port")) {
+            throw table.bad("nodo_port", "is missing; it is the port where nodos speak Thrift");
+        }
+        boolean framed = table.flag("nodo_framed", true);
+        boolean probes = table.word("probes", "http", List.of("http", "thrift")).equals("thrift");
+        Map<String, Method> methods = new LinkedHashMap<>();
+        for (Table each : table.tables("methods")) {
+            String name = each.text("name", null);
+            int kind = config.classes().indexOf(each.word("class", null, config.classes()));
+            if (methods.put(name, new Method(kind, each.flag("declares", false))) != null) {
+                throw each.bad("name", "\"" + name + "\" is there twice");
+            }
+        }
+        if (methods.isEmpty()) {
+            throw table.bad("methods", "is missing; a [[thrift.methods]] for each method that is carried");
+        }
+        return new ThriftSettings(listen, form, port, framed, probes, Map.copyOf(methods));
+    }
+}
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -21,7 +21,8 @@
           rehearse [PLAN]  play a day with real agents against stand-ins, and report; see rehearse --help
           demo             an agent with stand-in nodos on loopback, and a line to try
           plan [PLAN]      print a built-in plan, or check a plan file
-          serve            run as an agent, as the configuration in $RELAY_CONFIG says
+          serve            run as an agent, as the configuration in $RELAY_CONFIG says, and the file of our own
+                           in $GATEFRONT_EXTENSIONS, where one is named
           drill            decide for the simulator: frames on standard input, replies on standard output
           --help           show this text""";
 
@@ -48,7 +49,7 @@
             return 2;
         }
         if (args[0].equals("serve")) {
-            return serve(System.getenv("RELAY_CONFIG"), err);
+            return serve(System.getenv("RELAY_CONFIG"), System.getenv("GATEFRONT_EXTENSIONS"), err);
         }
         try {
             new Drill(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
@@ -60,7 +61,7 @@
     }
 
     /** Runs an agent until the process is asked to end. */
-    static int serve(String config, PrintStream err) {
+    static int serve(String config, String extensions, PrintStream err) {
         Agent agent;
         CompletableFuture<Agent> started = new CompletableFuture<>();
         try {
@@ -75,7 +76,7 @@
                 err.println("reload: SIGHUP is ignored here, so a new configuration needs a restart; "
                     + "start the agent without nohup");
             }
-            agent = Agent.start(file);
+            agent = Agent.start(file, extensions == null ? null : Path.of(extensions));
             started.complete(agent);
         } catch (IOException | IllegalArgumentException e) {
             err.println("gatefront: " + e.getMessage());
--- a/src/main/java/gatefront/cli/RehearseCommand.java
+++ b/src/main/java/gatefront/cli/RehearseCommand.java
@@ -8,7 +8,7 @@
 import gatefront.rehearsal.Shrink;
 import gatefront.rehearsal.check.RuleChecker;
 import gatefront.rehearsal.plan.Plan;
-import gatefront.rehearsal.plan.PlanException;
+import gatefront.toml.TomlException;
 import gatefront.rehearsal.plan.PlanReader;
 import gatefront.rehearsal.plan.PlanWriter;
 import java.io.IOException;
@@ -59,7 +59,7 @@
     private CommandSpec spec;
 
     @Override
-    public Integer call() throws PlanException, IOException {
+    public Integer call() throws TomlException, IOException {
         PrintWriter out = spec.commandLine().getOut();
         Plan read = read(plan);
         if (seeds != null) {
@@ -85,7 +85,7 @@
         return outcome.broken() == 0 ? 0 : Commands.BROKEN;
     }
 
-    private static Plan read(String plan) throws PlanException {
+    private static Plan read(String plan) throws TomlException {
         Path file = Path.of(plan);
         return PlanReader.BUILT_IN.contains(plan) && !Files.exists(file) ? PlanReader.builtIn(plan)
             : PlanReader.read(file);
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -110,6 +110,9 @@
     /** The request that asks for a server's health. */
     protected abstract Payload probe();
 
+    /** The last byte of an attempt's request has left. */
+    protected void left(Attempt attempt) { }
+
     /** Where a listed server is reached by this protocol, or null if it is not. */
     protected InetSocketAddress address(Endpoint endpoint) {
         return endpoint.address();
@@ -290,8 +293,10 @@
             to.attempt = this;
             long millisLeft = limited ? Math.max(1, (endAt - transport.nanos()) / 1_000_000) : 0;
             to.channel.writeAndFlush(message(request, to, millisLeft)).addListener(done -> {
-                written |= done.isSuccess();
-                if (!done.isSuccess()) {
+                if (done.isSuccess()) {
+                    written = true;
+                    left(this);
+                } else {
                     end(Outcome.CONNECT_FAILED); // the last byte never left, so it cannot have begun
                 }
             });
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -21,7 +21,7 @@
  * Hosts the decision module: the one place where events enter it, and where its actions become attempts and
  * answers. It knows no protocol. One event loop thread owns it and the module.
  */
-public final class Engine implements Balancer.Actions, Front.Listener {
+public final class Engine implements Balancer.Actions {
     /** When a caller that is refused should come back, where the module does not say: in a moment. */
     public static final long RETRY_AFTER_MICROS = 250_000;
     /** Of the caller's time, what the answer's way back and a late wake-up may take. */
@@ -32,7 +32,8 @@
     private final EventLoop loop;
     private final Balancer.Settings settings;
     private final long seed;
-    private final Upstream upstream;
+    /** One for each protocol, the one that probes first. */
+    private final List<Upstream> upstreams;
     private final Source source;
     private final Balancer balancer;
     /**
@@ -66,13 +67,15 @@
         final long id;
         final Call call;
         final Exchange exchange;
+        final Upstream upstream;
         final List<Upstream.Attempt> attempts = new ArrayList<>(1);
         int out;
         boolean answered;
         Future<?> guard;
 
-        Pending(long id, Call call, Exchange exchange) {
+        Pending(long id, Call call, Exchange exchange, Upstream upstream) {
             this.id = id;
+            this.upstream = upstream;
             this.call = call;
             this.exchange = exchange;
         }
@@ -84,17 +87,17 @@
      * @param transport its loop, clock and log
      * @param settings for the decision module
      * @param seed for its random choices
-     * @param upstream the way to the servers
+     * @param upstreams the ways to the servers, one for each protocol; the first is asked for their health
      * @param source where the list comes from; it may be asked before this returns
      * @param module makes the decision module
      */
-    public Engine(Transport transport, Balancer.Settings settings, long seed, Upstream upstream, Source source,
-                  Function<Engine, Balancer> module) {
+    public Engine(Transport transport, Balancer.Settings settings, long seed, List<Upstream> upstreams,
+                  Source source, Function<Engine, Balancer> module) {
         this.transport = transport;
         this.settings = settings;
         this.seed = seed;
         this.loop = transport.loop();
-        this.upstream = upstream;
+        this.upstreams = List.copyOf(upstreams);
         this.source = source;
         this.anchorMicros = transport.wallMicros() - transport.nanos() / 1000;
         this.balancer = module.apply(this);
@@ -118,7 +121,7 @@
 
     /** How many servers something is kept for; to be asked on its loop. */
     public int servers() {
-        return Math.max(names.size(), upstream.size());
+        return Math.max(names.size(), upstreams.stream().mapToInt(Upstream::size).max().orElse(0));
     }
 
     /** Answers all that is still held, as out of time. */
@@ -172,9 +175,9 @@
             long id = endpoint.server().id();
             gone.remove(id);
             names.put(id, endpoint.name());
-            upstream.listed(endpoint);
+            upstreams.forEach(each -> each.listed(endpoint));
         }
-        gone.forEach(upstream::gone);
+        gone.forEach(id -> upstreams.forEach(each -> each.gone(id)));
         List<Balancer.Server> entries = endpoints.stream().map(Endpoint::server).toList();
         event(() -> balancer.servers(now(), kind, entries));
         endpoints.stream().map(Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
@@ -182,8 +185,22 @@
         names.keySet().removeAll(gone);
     }
 
-    @Override
-    public void call(Call call, Exchange exchange) {
+    /** What a front hands its calls to, for them to go to the servers by an upstream. */
+    public Front.Listener through(Upstream upstream) {
+        return new Front.Listener() {
+            @Override
+            public void call(Call call, Exchange exchange) {
+                take(call, exchange, upstream);
+            }
+
+            @Override
+            public void callerLeft(Exchange exchange) {
+                left(exchange);
+            }
+        };
+    }
+
+    private void take(Call call, Exchange exchange, Upstream upstream) {
         // Guards against an effect twice, and against one call getting the other's answer: the second is
         // not passed on, whoever sent it and by whatever protocol, and the first goes on unharmed.
         if (byName.containsKey(call.id())) {
@@ -191,7 +208,7 @@
             return;
         }
         long id = nextId++;
-        Pending pending = new Pending(id, call, exchange);
+        Pending pending = new Pending(id, call, exchange, upstream);
         open.put(id, pending);
         byExchange.put(exchange, pending);
         byName.put(call.id(), pending);
@@ -204,8 +221,7 @@
         event(pending, () -> balancer.request(now(), request));
     }
 
-    @Override
-    public void callerLeft(Exchange exchange) {
+    private void left(Exchange exchange) {
         Pending pending = byExchange.get(exchange);
         if (pending != null && !pending.answered) {
             answered(pending);
@@ -261,7 +277,7 @@
         int attempt = pending.attempts.size();
         long sentAt = now();
         pending.out++;
-        pending.attempts.add(upstream.send(server, pending.call.payload(), timeout,
+        pending.attempts.add(pending.upstream.send(server, pending.call.payload(), timeout,
             result -> outcome(pending, attempt, server, sentAt, result)));
     }
 
@@ -294,7 +310,7 @@
     @Override
     public void probe(long server) {
         long sentAt = now();
-        upstream.probe(server, result -> event(() ->
+        upstreams.get(0).probe(server, result -> event(() ->
             balancer.probed(now(), server, result.outcome(), now() - sentAt, result.load())));
     }
 
@@ -308,7 +324,7 @@
 
     @Override
     public void closeIdle(long server) {
-        upstream.closeIdle(server);
+        upstreams.forEach(each -> each.closeIdle(server));
     }
 
     @Override
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -376,7 +376,7 @@
         String id = headers.get("Request-Id", "");
         int tenant = config.tenants().indexOf(headers.get("Tenant", ""));
         if (requestClass < 0 || !named.equals(request.uri().split("[/?]", 3)[1]) || timeout < 1
-                || timeout > TIMEOUT_MS_MAX || hint < 0 || !token(id) || headers.get("Host", "").isEmpty()
+                || timeout > TIMEOUT_MS_MAX || hint < 0 || !Call.isId(id) || headers.get("Host", "").isEmpty()
                 || tenant < 0 && !config.tenants().isEmpty()) {
             return null;
         }
@@ -385,7 +385,7 @@
         String repeat = headers.get("Idempotency-Key");
         // Guards against an effect twice: without its key no server would drop a repeat.
         boolean keyed = semantics == Balancer.Semantics.KEYED;
-        if (!request.method().equals(method) || (keyed ? repeat == null || !token(repeat) : repeat != null)) {
+        if (!request.method().equals(method) || (keyed ? repeat == null || !Call.isId(repeat) : repeat != null)) {
             return null;
         }
         HttpHeaders forwarded = new DefaultHttpHeaders().set(headers);
@@ -413,10 +413,4 @@
         }
         return true;
     }
-
-    /** Whether it has the form of an id: letters, digits and a few marks, and not too many. */
-    private static boolean token(String text) {
-        return !text.isEmpty() && text.length() <= 128 && text.chars().allMatch(c -> c < 128
-            && (Character.isLetterOrDigit(c) || c == '-' || c == '_' || c == '.' || c == ':'));
-    }
 }
--- a/src/main/java/gatefront/rehearsal/Cast.java
+++ b/src/main/java/gatefront/rehearsal/Cast.java
@@ -41,7 +41,7 @@
         Plan.Nodos told = plan.nodos();
         List<Demand.Kind> kinds = new ArrayList<>();
         for (Plan.Kind each : plan.classes()) {
-            kinds.add(new Demand.Kind(each.name(), each.share(), 1000 * each.workMs().draw(draw),
+            kinds.add(new Demand.Kind(each.name(), each.share(), 1000 * each.workMs().draw(draw::between),
                 each.variation()));
         }
         int agents = plan.agents().count();
@@ -52,15 +52,15 @@
             shares[i] = 1 / StrictMath.pow(i + 1, plan.agents().skew());
         }
         return new Cast(nodos(plan, new Draw(seed, "nodos")), List.copyOf(kinds), zones, shares,
-            plan.callers().tryShare().draw(draw), 1000 * plan.network().crossMs().draw(draw),
-            (long) (1000 * told.reportMs().draw(draw)), 1000 * told.probeMs().draw(draw),
-            1000 * told.connectionMs().draw(draw), troubles(plan, seed));
+            plan.callers().tryShare().draw(draw::between), 1000 * plan.network().crossMs().draw(draw::between),
+            (long) (1000 * told.reportMs().draw(draw::between)), 1000 * told.probeMs().draw(draw::between),
+            1000 * told.connectionMs().draw(draw::between), troubles(plan, seed));
     }
 
     private static List<Nodo> nodos(Plan plan, Draw draw) {
         Plan.Nodos told = plan.nodos();
         double[] shares = told.kinds().stream().mapToDouble(Plan.Machine::share).toArray();
-        double limitedShare = told.limited().draw(draw);
+        double limitedShare = told.limited().draw(draw::between);
         List<Nodo> nodos = new ArrayList<>();
         int[] left = new int[plan.zones().size()];
         int[] cells = new int[plan.zones().size()];
@@ -70,13 +70,13 @@
         for (int i = 0; i < told.count(); i++) {
             int zone = i % plan.zones().size();
             if (left[zone] == 0) {
-                left[zone] = (int) StrictMath.rint(told.bloque().draw(draw));
+                left[zone] = (int) StrictMath.rint(told.bloque().draw(draw::between));
                 cells[zone] = nextCell++;
-                limits[zone] = draw.unit() < limitedShare ? told.limit().draw(draw) : 1;
+                limits[zone] = draw.unit() < limitedShare ? told.limit().draw(draw::between) : 1;
             }
             left[zone]--;
             Plan.Machine kind = told.kinds().get(kinds[i]);
-            double speed = kind.speed().draw(draw);
+            double speed = kind.speed().draw(draw::between);
             NodoModel.Machine machine = new NodoModel.Machine(kind.cores(), speed, kind.slots(), kind.room(),
                 kind.thrash(), kind.thrashAt(), told.coldFrom(), (long) (1e6 * told.coldSeconds()),
                 plan.rules().fallMultiple(), (long) (1e6 * plan.rules().fallSeconds()));
@@ -128,9 +128,9 @@
                 case AGENTS -> plan.agents().count();
                 case NOBODY -> 0;
             };
-            troubles.add(new Trouble(fault, (long) (1e6 * fault.at().draw(draw)),
-                (long) (1e6 * fault.lasts().draw(draw)), targets(fault, most, draw), fault.size().draw(draw),
-                (long) (1e6 * fault.every().draw(draw))));
+            troubles.add(new Trouble(fault, (long) (1e6 * fault.at().draw(draw::between)),
+                (long) (1e6 * fault.lasts().draw(draw::between)), targets(fault, most, draw),
+                fault.size().draw(draw::between), (long) (1e6 * fault.every().draw(draw::between))));
         }
         troubles.sort((a, b) -> Long.compare(a.at, b.at));
         return List.copyOf(troubles);
--- a/src/main/java/gatefront/rehearsal/PadronStand.java
+++ b/src/main/java/gatefront/rehearsal/PadronStand.java
@@ -114,7 +114,7 @@
 
     /** Learns of something, some time after it has happened, and tells it. */
     void learns(Runnable change) {
-        day.at(day.now() + (long) (1e6 * day.plan.padron().noticeSeconds().draw(draw)), () -> {
+        day.at(day.now() + (long) (1e6 * day.plan.padron().noticeSeconds().draw(draw::between)), () -> {
             change.run();
             List.copyOf(open).forEach(Asking::news);
         });
--- a/src/main/java/gatefront/rehearsal/Shrink.java
+++ b/src/main/java/gatefront/rehearsal/Shrink.java
@@ -5,7 +5,7 @@
 import gatefront.rehearsal.check.RuleChecker.Rule;
 import gatefront.rehearsal.plan.Fault;
 import gatefront.rehearsal.plan.Plan;
-import gatefront.rehearsal.plan.Range;
+import gatefront.toml.Range;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/main/java/gatefront/rehearsal/plan/Plan.java
+++ b/src/main/java/gatefront/rehearsal/plan/Plan.java
@@ -1,5 +1,6 @@
 package gatefront.rehearsal.plan;
 
+import gatefront.toml.Range;
 import gatefront.policy.Balancer;
 import java.util.List;
 
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -1,16 +1,14 @@
 package gatefront.rehearsal.plan;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import gatefront.toml.Range;
+import gatefront.toml.Table;
+import gatefront.toml.TomlException;
+import gatefront.toml.TomlFile;
 import gatefront.policy.Balancer.Scope;
 import gatefront.policy.Balancer.Semantics;
 import java.io.IOException;
 import java.io.InputStream;
-import java.nio.charset.MalformedInputException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -24,7 +22,6 @@
     /** The plans that come with the jar. */
     public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large");
     private static final double MANY = 1e9;
-    private static final long BYTES_MOST = 1 << 20;
 
     private final String file;
 
@@ -37,37 +34,26 @@
      *
      * @param path where it is
      * @return the plan
-     * @throws PlanException if it cannot be played
+     * @throws TomlException if it cannot be played
      */
-    public static Plan read(Path path) throws PlanException {
-        try {
-            if (Files.exists(path) && Files.size(path) > BYTES_MOST) {
-                throw new PlanException(path + ":1: is larger than a plan may be, 1 MiB");
-            }
-            return parse(path.toString(), Files.readString(path));
-        } catch (NoSuchFileException e) {
-            throw new PlanException(path + ": no such file; built in are " + String.join(", ", BUILT_IN));
-        } catch (MalformedInputException e) {
-            throw new PlanException(path + ":1: is not text in UTF-8");
-        } catch (IOException e) {
-            throw new PlanException(path + ": cannot be read: " + e.getMessage());
-        }
+    public static Plan read(Path path) throws TomlException {
+        return parse(path.toString(), TomlFile.text(path, "; built in are " + String.join(", ", BUILT_IN)));
     }
 
     /** A plan that comes with the jar. */
-    public static Plan builtIn(String name) throws PlanException {
+    public static Plan builtIn(String name) throws TomlException {
         return parse(name + ".toml", builtInText(name));
     }
 
     /** Its text, as a start for plans of one's own. */
-    public static String builtInText(String name) throws PlanException {
+    public static String builtInText(String name) throws TomlException {
         try (InputStream in = PlanReader.class.getResourceAsStream("/gatefront/plans/" + name + ".toml")) {
             if (in == null) {
-                throw new PlanException(name + ": no such plan; built in are " + String.join(", ", BUILT_IN));
+                throw new TomlException(name + ": no such plan; built in are " + String.join(", ", BUILT_IN));
             }
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
-            throw new PlanException(name + ": cannot be read: " + e.getMessage());
+            throw new TomlException(name + ": cannot be read: " + e.getMessage());
         }
     }
 
@@ -77,21 +63,13 @@
      * @param file its name in messages
      * @param text the TOML
      * @return the plan
-     * @throws PlanException if it cannot be played
+     * @throws TomlException if it cannot be played
      */
-    public static Plan parse(String file, String text) throws PlanException {
-        JsonNode root;
-        try {
-            root = new TomlMapper().readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
-            throw new PlanException(file + ":" + line + ": is not TOML: "
-                + e.getOriginalMessage().lines().findFirst().orElse(""));
-        }
-        return new PlanReader(file).plan(new Table(file, new KeyLines(text.lines().toList()), "", root));
+    public static Plan parse(String file, String text) throws TomlException {
+        return new PlanReader(file).plan(TomlFile.parse(file, text));
     }
 
-    private Plan plan(Table top) throws PlanException {
+    private Plan plan(Table top) throws TomlException {
         String name = top.text("name", null);
         double seconds = top.number("seconds", null, 1, 86_400);
         List<String> zones = top.texts("zones");
@@ -119,7 +97,7 @@
             List.copyOf(tenants), List.copyOf(faults));
     }
 
-    private static void distinct(Table table, String key, List<String> names) throws PlanException {
+    private static void distinct(Table table, String key, List<String> names) throws TomlException {
         Set<String> seen = new HashSet<>();
         for (String each : names) {
             if (!seen.add(each)) {
@@ -131,18 +109,18 @@
         }
     }
 
-    private static Plan.Net network(Table t) throws PlanException {
+    private static Plan.Net network(Table t) throws TomlException {
         return new Plan.Net(t.number("client_ms", 0.3, 0, 1000), t.number("same_ms", 0.3, 0, 1000),
             t.range("cross_ms", new Range(2, 2), 0, 1000), t.number("jitter", 0.2, 0, 1),
             t.number("megabits", 1000.0, 0.1, 1e6));
     }
 
-    private static Plan.Agents agents(Table t) throws PlanException {
+    private static Plan.Agents agents(Table t) throws TomlException {
         return new Plan.Agents(t.whole("count", 5, 1, 10_000), t.whole("sockets", 384, 64, 1 << 20),
             t.whole("memory_mb", 128, 16, 1 << 20), t.number("skew", 0.5, 0, 3));
     }
 
-    private static Plan.Nodos nodos(Table t) throws PlanException {
+    private static Plan.Nodos nodos(Table t) throws TomlException {
         List<Plan.Machine> kinds = new ArrayList<>();
         for (Table each : t.tables("kinds")) {
             int cores = each.whole("cores", 2, 1, 1024);
@@ -160,20 +138,20 @@
             t.whole("connections", 200, 1, 1 << 20), t.number("idle_s", 60.0, 0.1, 3600), kinds);
     }
 
-    private static Plan.Rules rules(Table t) throws PlanException {
+    private static Plan.Rules rules(Table t) throws TomlException {
         return new Plan.Rules(t.number("slack_ms", 20.0, 0, 10_000), t.number("drain_ms", 500.0, 0, 60_000),
             t.number("fall_multiple", 3.0, 1, 1000), t.number("fall_s", 3.0, 0.1, 600),
             t.whole("max_attempts", 6, 1, 60));
     }
 
-    private static Plan.Callers callers(Table t, List<Plan.Kind> classes) throws PlanException {
+    private static Plan.Callers callers(Table t, List<Plan.Kind> classes) throws TomlException {
         return new Plan.Callers(t.number("rate", null, 0.01, 1e6), t.whole("retries", 2, 0, 20),
             t.number("backoff_ms", 50.0, 1, 60_000), t.number("honour", 0.8, 0, 1),
             t.range("try_share", new Range(0.5, 0.8), 0.05, 1), t.number("hint_error", 0.4, 0, 5),
             t.flag("marks_retry", true), t.number("retry_after_ms", 1000.0, 0, 60_000));
     }
 
-    private static List<Plan.Kind> classes(Table top) throws PlanException {
+    private static List<Plan.Kind> classes(Table top) throws TomlException {
         List<Plan.Kind> classes = new ArrayList<>();
         for (Table t : top.tables("classes")) {
             Semantics semantics = Semantics.valueOf(
@@ -199,7 +177,7 @@
         return List.copyOf(classes);
     }
 
-    private static Fault fault(Table t, double seconds, int agents, int nodos) throws PlanException {
+    private static Fault fault(Table t, double seconds, int agents, int nodos) throws TomlException {
         List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
         String word = t.word("kind", null, words);
         Fault.Kind kind = Fault.Kind.values()[words.indexOf(word)];
--- a/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
@@ -1,5 +1,6 @@
 package gatefront.rehearsal.plan;
 
+import gatefront.toml.Range;
 import gatefront.policy.Balancer.Semantics;
 import java.util.List;
 import java.util.Locale;
--- /dev/null
+++ b/src/main/java/gatefront/thrift/Metadata.java
@@ -0,0 +1,98 @@
+package gatefront.thrift;
+
+import gatefront.thrift.codec.Message;
+import gatefront.thrift.codec.StructReader;
+
+/** What a caller says of its call beside its arguments. */
+final class Metadata {
+    String requestId = "";
+    long timeoutMs;
+    String tenant = "";
+    String affinityKey = "";
+    long workHint;
+    boolean clientRetry;
+    String idempotencyKey;
+    /** Where the time stands in the body, and how many bytes it takes. */
+    int timeoutAt = -1;
+    int timeoutBytes;
+
+    private Metadata() { }
+
+    /** Reads it; {@code wrong} is why there is none that can be used, else null. */
+    record Found(Metadata metadata, String wrong) { }
+
+    /** Takes it from the first argument of a call. */
+    static Found of(Message call) {
+        StructReader arguments = new StructReader(call.encoding(), call.body());
+        // Guards against a second copy behind the first, of which the server might believe the other.
+        Metadata found = null;
+        while (arguments.next()) {
+            if (arguments.id() != Conventions.METADATA) {
+                continue;
+            }
+            if (found != null) {
+                return new Found(null, "argument 1 comes twice");
+            }
+            StructReader fields = arguments.struct();
+            if (fields == null) {
+                return new Found(null, "argument 1 is not the metadata struct");
+            }
+            found = new Metadata();
+            String wrong = found.read(fields);
+            if (wrong != null) {
+                return new Found(null, wrong);
+            }
+        }
+        return new Found(found, found == null ? "argument 1, the metadata, is missing" : null);
+    }
+
+    private String read(StructReader fields) {
+        long seen = 0;
+        while (fields.next()) {
+            int id = fields.id();
+            if (id < Conventions.REQUEST_ID || id > Conventions.IDEMPOTENCY_KEY) {
+                continue; // of a later version
+            }
+            if ((seen & 1L << id) != 0) {
+                return "metadata field " + id + " comes twice";
+            }
+            seen |= 1L << id;
+            if (!take(id, fields)) {
+                return "metadata field " + id + " has another type";
+            }
+        }
+        return null;
+    }
+
+    private boolean take(int id, StructReader fields) {
+        switch (id) {
+            case Conventions.TIMEOUT_MS -> {
+                timeoutAt = fields.position();
+                Long value = fields.number();
+                timeoutBytes = fields.position() - timeoutAt;
+                timeoutMs = value == null ? 0 : value;
+                return value != null;
+            }
+            case Conventions.WORK_HINT -> {
+                Long value = fields.number();
+                workHint = value == null ? 0 : value;
+                return value != null;
+            }
+            case Conventions.CLIENT_RETRY -> {
+                Boolean value = fields.bool();
+                clientRetry = Boolean.TRUE.equals(value);
+                return value != null;
+            }
+            default -> {
+                String value = fields.string();
+                switch (id) {
+                    case Conventions.REQUEST_ID -> requestId = value;
+                    case Conventions.TENANT -> tenant = value;
+                    case Conventions.AFFINITY_KEY -> affinityKey = value;
+                    default -> idempotencyKey = value;
+                }
+                return value != null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/thrift/ThriftCall.java
@@ -0,0 +1,32 @@
+package gatefront.thrift;
+
+import gatefront.engine.Payload;
+import gatefront.thrift.codec.Encoding;
+import gatefront.thrift.codec.Message;
+
+/**
+ * A call on its way to a server.
+ *
+ * @param message as it came
+ * @param timeoutAt where in its body the caller's time stands; -1 if nowhere
+ * @param timeoutBytes how many bytes it takes there
+ */
+record ThriftCall(Message message, int timeoutAt, int timeoutBytes) implements Payload {
+    /**
+     * The arguments, byte for byte but for the time: in its place and of its length is what is left. What is left is
+     * never more than there was, so in the compact protocol its varint fits, with groups of zeros behind.
+     */
+    byte[] body(long millisLeft) {
+        if (timeoutAt < 0 || millisLeft <= 0) {
+            return message.body();
+        }
+        byte[] body = message.body().clone();
+        boolean compact = message.encoding() == Encoding.COMPACT;
+        for (int i = 0; i < timeoutBytes; i++) {
+            boolean last = i == timeoutBytes - 1;
+            body[timeoutAt + i] = compact ? (byte) (millisLeft << 1 >> 7 * i & 0x7f | (last ? 0 : 0x80))
+                : (byte) (millisLeft >> 8 * (timeoutBytes - 1 - i));
+        }
+        return body;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -0,0 +1,301 @@
+package gatefront.thrift;
+
+import gatefront.config.Config;
+import gatefront.connection.PooledFront;
+import gatefront.engine.Call;
+import gatefront.engine.Payload;
+import gatefront.policy.Balancer;
+import gatefront.thrift.codec.Header;
+import gatefront.thrift.codec.Limits;
+import gatefront.thrift.codec.MalformedException;
+import gatefront.thrift.codec.Message;
+import gatefront.thrift.codec.MessageDecoder;
+import gatefront.thrift.codec.MessageEncoder;
+import gatefront.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The application's side over Thrift: calls in, final answers out, each by its seqid as soon as there is one. Calls
+ * that have the same seqid as one that waits for its answer are taken after it: a client that numbers nothing tells
+ * answers apart by their order. What is no message ends its connection, once what came before it is answered.
+ */
+public final class ThriftFront extends PooledFront {
+    private static final long TIMEOUT_MS_MAX = 3_600_000;
+    /** Calls of one connection in work at the most, and read ahead beyond these before it is left alone. */
+    private static final int IN_FLIGHT_MOST = 32;
+    private static final int AHEAD_MOST = 4;
+    private static final int REPLY_OVERHEAD = 160;
+
+    private final Transport transport;
+    private final Config config;
+    private final ThriftSettings settings;
+    private final Listener listener;
+    private final BooleanSupplier ready;
+
+    /** Listens to nobody yet; {@link #listen()} begins. */
+    public ThriftFront(Transport transport, Config config, ThriftSettings settings, int connectionsMost,
+                       BooleanSupplier ready, Listener listener) {
+        super(transport, settings.listen(), connectionsMost);
+        this.transport = transport;
+        this.config = config;
+        this.settings = settings;
+        this.listener = listener;
+        this.ready = ready;
+    }
+
+    @Override
+    protected void init(DuplexChannel channel) {
+        MessageDecoder decoder = new MessageDecoder(Limits.USUAL, settings.form());
+        channel.pipeline().addLast(decoder, new Caller(channel, decoder));
+    }
+
+    /** One call and the answer it is owed. */
+    private final class Exchange implements gatefront.engine.Exchange {
+        private final Caller connection;
+        private final Message call;
+        private final boolean declares;
+        private boolean answered;
+
+        private Exchange(Caller connection, Message call, boolean declares) {
+            this.connection = connection;
+            this.call = call;
+            this.declares = declares;
+        }
+
+        @Override
+        public void served(Payload payload) {
+            if (call.header().type() == Header.Type.ONEWAY) {
+                answer(null, null);
+            } else {
+                pass(payload);
+            }
+        }
+
+        @Override
+        public void rejected(Payload payload) {
+            pass(payload);
+        }
+
+        private void pass(Payload payload) {
+            Message reply = ((ThriftReply) payload).message();
+            answer(reply.header().type(), reply.body());
+        }
+
+        @Override
+        public void refused(long retryAfterMicros) {
+            long millis = Math.max(1, retryAfterMicros / 1000);
+            if (declares) {
+                answer(Header.Type.REPLY, Results.refused(call.encoding(), "not started", millis));
+            } else {
+                answer(Header.Type.EXCEPTION, Results.application(call.encoding(), Conventions.INTERNAL_ERROR,
+                    "refused, not started; retry_after_ms=" + millis));
+            }
+        }
+
+        @Override
+        public void failed(Failure why) {
+            String reason = switch (why) {
+                case NOT_SERVED -> "no server has served it";
+                case TIME_UP -> "its time is up";
+                case DUPLICATE -> "another of the same request id is held";
+                case INTERNAL -> "a fault of the agent's own";
+            };
+            if (declares) {
+                answer(Header.Type.REPLY, Results.failed(call.encoding(), reason));
+            } else {
+                answer(Header.Type.EXCEPTION,
+                    Results.application(call.encoding(), Conventions.INTERNAL_ERROR, "failed: " + reason));
+            }
+        }
+
+        private void wrong(int type, String why) {
+            answer(Header.Type.EXCEPTION, Results.application(call.encoding(), type, why));
+        }
+
+        /** Gives the final answer; a call that wants none gets none, and is over all the same. */
+        private void answer(Header.Type type, byte[] body) {
+            if (!answered && connection.inFlight.get(call.header().seqid()) == this) {
+                answered = true;
+                connection.answered(call, type, body);
+            }
+        }
+    }
+
+    /** One connection of the application's. */
+    private final class Caller extends Connection {
+        private final MessageDecoder decoder;
+        /** Owed an answer, by seqid, in the order in which they came. */
+        private final Map<Integer, Exchange> inFlight = new LinkedHashMap<>();
+        private final Deque<Message> ahead = new ArrayDeque<>();
+
+        Caller(DuplexChannel channel, MessageDecoder decoder) {
+            super(channel);
+            this.decoder = decoder;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Object read) {
+            if (deaf) {
+                return;
+            }
+            if (read instanceof MalformedException) {
+                stop();
+                return;
+            }
+            Message call = (Message) read;
+            if (!hold(call.body().length)) {
+                stop(); // without room it cannot even wait for its turn
+                return;
+            }
+            ahead.add(call);
+            next();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if ((stage() == Stage.SILENT || stage() == Stage.KEPT) && decoder.begun()) {
+                move(Stage.BEGUN);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            next();
+        }
+
+        @Override
+        protected void tooSlow() {
+            stop();
+        }
+
+        /** Nothing more is read; what has come before is answered, and then the connection ends. */
+        private void stop() {
+            deaf = true;
+            channel.config().setAutoRead(false);
+            if (inFlight.isEmpty() && ahead.isEmpty()) {
+                finish(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), true);
+            }
+        }
+
+        @Override
+        protected void ended() {
+            ahead.clear();
+            List<Exchange> left = List.copyOf(inFlight.values());
+            inFlight.clear();
+            left.forEach(listener::callerLeft);
+        }
+
+        /** Takes what has come, as far as it may be in work at once, and not while answers are still to be read. */
+        private void next() {
+            while (!ahead.isEmpty() && channel.isWritable() && inFlight.size() < IN_FLIGHT_MOST
+                    && !inFlight.containsKey(ahead.peek().header().seqid())) {
+                take(ahead.poll());
+            }
+            if (!deaf) {
+                channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+            }
+        }
+
+        private void take(Message message) {
+            move(Stage.OWED);
+            Header header = message.header();
+            ThriftSettings.Method method = settings.method(header.name());
+            Exchange exchange = new Exchange(this, message, method != null && method.declares());
+            inFlight.put(header.seqid(), exchange);
+            try {
+                if (header.type() != Header.Type.CALL && header.type() != Header.Type.ONEWAY) {
+                    exchange.wrong(Conventions.INVALID_MESSAGE_TYPE, "neither a call nor oneway");
+                } else if (header.name().equals(Conventions.HEALTH)) {
+                    exchange.answer(Header.Type.REPLY,
+                        Results.health(message.encoding(), ready.getAsBoolean() && !leaving()));
+                } else if (method == null) {
+                    exchange.wrong(Conventions.UNKNOWN_METHOD, "unknown method " + header.name());
+                } else {
+                    call(message, method, exchange);
+                }
+            } catch (RuntimeException e) {
+                // Guards against a fault here that would leave the client without its answer.
+                transport.log("call failed: " + e);
+                exchange.wrong(Conventions.INTERNAL_ERROR, "a fault of the agent's own");
+            }
+        }
+
+        private void call(Message message, ThriftSettings.Method method, Exchange exchange) {
+            Metadata.Found found = Metadata.of(message);
+            String wrong = found.wrong() != null ? found.wrong() : check(found.metadata(), method);
+            if (wrong != null) {
+                exchange.wrong(Conventions.PROTOCOL_ERROR, wrong);
+                return;
+            }
+            Metadata data = found.metadata();
+            listener.call(new Call(data.requestId, method.requestClass(),
+                Math.max(0, config.tenants().indexOf(data.tenant)),
+                data.affinityKey.isEmpty() ? 0 : Config.id(data.affinityKey), data.workHint, data.timeoutMs,
+                data.clientRetry, new ThriftCall(message, data.timeoutAt, data.timeoutBytes)), exchange);
+        }
+
+        private void answered(Message call, Header.Type type, byte[] body) {
+            inFlight.remove(call.header().seqid());
+            release(call.body().length);
+            ChannelFuture written = call.header().type() == Header.Type.ONEWAY ? null
+                : channel.writeAndFlush(reply(call, type, body));
+            if (!inFlight.isEmpty()) {
+                proceed();
+                return;
+            }
+            if (ahead.isEmpty() && (deaf || closing())) {
+                boolean unread = deaf || decoder.begun();
+                finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, unread);
+            } else {
+                move(decoder.begun() ? Stage.BEGUN : Stage.KEPT);
+                proceed();
+            }
+        }
+
+        private void proceed() {
+            if (!ahead.isEmpty()) {
+                channel.eventLoop().execute(this::next);
+            }
+        }
+
+        private ByteBuf reply(Message call, Header.Type type, byte[] body) {
+            Header header = new Header(call.header().name(), type, call.header().seqid());
+            ByteBuf out = Unpooled.buffer(body.length + REPLY_OVERHEAD);
+            MessageEncoder.write(new Message(call.encoding(), header, body), decoder.form().framed(), out);
+            return out;
+        }
+    }
+
+    /** Why a call is not taken, or null. The rules are those of requests over HTTP. */
+    private String check(Metadata data, ThriftSettings.Method method) {
+        if (!Call.isId(data.requestId)) {
+            return "requestId is missing or has not the form of an id";
+        }
+        if (data.timeoutMs < 1 || data.timeoutMs > TIMEOUT_MS_MAX) {
+            return "timeoutMs is not within 1 to " + TIMEOUT_MS_MAX;
+        }
+        if (data.workHint < 0) {
+            return "workHint is negative";
+        }
+        if (!config.tenants().isEmpty() && !config.tenants().contains(data.tenant)) {
+            return "tenant is not known";
+        }
+        // Guards against an effect twice: without its key no server would drop a repeat.
+        boolean keyed = config.settings().classes().get(method.requestClass()).semantics() == Balancer.Semantics.KEYED;
+        if (keyed ? data.idempotencyKey == null || !Call.isId(data.idempotencyKey) : data.idempotencyKey != null) {
+            return keyed ? "idempotencyKey is missing or has not the form of an id"
+                : "idempotencyKey on a method that is not keyed";
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/thrift/ThriftUpstream.java
@@ -0,0 +1,181 @@
+package gatefront.thrift;
+
+import gatefront.config.Config;
+import gatefront.connection.LoadReport;
+import gatefront.connection.PooledUpstream;
+import gatefront.engine.Payload;
+import gatefront.membership.Endpoint;
+import gatefront.policy.Balancer.Outcome;
+import gatefront.thrift.codec.Encoding;
+import gatefront.thrift.codec.Header;
+import gatefront.thrift.codec.Limits;
+import gatefront.thrift.codec.MalformedException;
+import gatefront.thrift.codec.Message;
+import gatefront.thrift.codec.MessageDecoder;
+import gatefront.thrift.codec.MessageEncoder;
+import gatefront.thrift.codec.StructReader;
+import gatefront.thrift.codec.StructWriter;
+import gatefront.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The servers over Thrift: a call a connection at a time, and what its reply says of it.
+ *
+ * <p>What a reply proves. The declared exception Refused: nothing ran. Failed: nothing is promised. Any other result,
+ * an exception of the method's own too, is the server's answer and goes to the caller as it is. Of the
+ * TApplicationExceptions those that find fault with the call go to the caller as well, and the call is sent nowhere
+ * else; none is taken as proof that nothing ran, for a handler that calls other services passes on theirs.
+ */
+public final class ThriftUpstream extends PooledUpstream {
+    private final ThriftSettings settings;
+    private final LoadReport load;
+    private final Payload probe;
+    /** The reply that each connection waits for; an entry goes with its connection. */
+    private final Map<Connection, Header> awaited = new HashMap<>();
+    private int seqid;
+
+    /** Holds so many connections at the most. */
+    public ThriftUpstream(Transport transport, Config config, ThriftSettings settings, int connectionsMost) {
+        super(transport, connectionsMost, config.connectTimeoutMicros(), config.idleCloseMicros());
+        this.settings = settings;
+        this.load = new LoadReport(config.loadFields());
+        this.probe = new ThriftCall(new Message(Encoding.BINARY, new Header(Conventions.HEALTH, Header.Type.CALL, 0),
+            new StructWriter(Encoding.BINARY).end()), -1, 0);
+    }
+
+    @Override
+    protected InetSocketAddress address(Endpoint endpoint) {
+        return new InetSocketAddress(endpoint.address().getAddress(), settings.serverPort());
+    }
+
+    @Override
+    protected void init(Connection connection, ChannelPipeline pipeline) {
+        MessageDecoder decoder = new MessageDecoder(Limits.USUAL);
+        pipeline.addLast(decoder, new Replies(connection, decoder));
+    }
+
+    @Override
+    protected Payload probe() {
+        return probe;
+    }
+
+    @Override
+    protected Object message(Payload payload, Connection connection, long millisLeft) {
+        ThriftCall call = (ThriftCall) payload;
+        Header header = new Header(call.message().header().name(), call.message().header().type(), ++seqid);
+        awaited.put(connection, header);
+        byte[] body = call.body(millisLeft);
+        ByteBuf out = Unpooled.buffer(body.length + 64);
+        MessageEncoder.write(new Message(call.message().encoding(), header, body), settings.framedServers(), out);
+        return out;
+    }
+
+    /** A call that gets no reply has been served, as far as anyone will know, when it has left. */
+    @Override
+    protected void left(Attempt attempt) {
+        if (((ThriftCall) attempt.request()).message().header().type() == Header.Type.ONEWAY) {
+            attempt.end(new Result(Outcome.OK, NO_LOAD, attempt.request(), null), true);
+        }
+    }
+
+    /** Turns what arrives on a connection into the outcome of its attempt. */
+    private final class Replies extends SimpleChannelInboundHandler<Object> {
+        private final Connection connection;
+        private final MessageDecoder decoder;
+
+        Replies(Connection connection, MessageDecoder decoder) {
+            this.connection = connection;
+            this.decoder = decoder;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Object read) {
+            Attempt attempt = connection.attempt();
+            if (attempt == null) {
+                ctx.close(); // a reply to nothing
+            } else if (read instanceof MalformedException || !attempt.written()
+                    || !answers((Message) read, ((ThriftCall) attempt.request()).message())) {
+                attempt.broken(); // spoilt: nothing of it is served, and it may have run
+            } else {
+                attempt.end(result((Message) read, attempt), !decoder.leftover());
+            }
+        }
+
+        /** Guards against the reply to another call, where a server mixes them up. */
+        private boolean answers(Message reply, Message call) {
+            Header header = awaited.get(connection);
+            Header.Type type = reply.header().type();
+            return reply.header().seqid() == header.seqid() && reply.encoding().sameBody(call.encoding())
+                && (type == Header.Type.REPLY && reply.header().name().equals(unqualified(header.name()))
+                    || type == Header.Type.REPLY && reply.header().name().equals(header.name())
+                    || type == Header.Type.EXCEPTION);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            awaited.remove(connection);
+            connection.ended();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close(); // reset; what that means for the attempt is told by channelInactive
+        }
+    }
+
+    /** A server that serves several services replies with the method's name alone. */
+    private static String unqualified(String name) {
+        return name.substring(name.indexOf(':') + 1);
+    }
+
+    private Result result(Message reply, Attempt attempt) {
+        if (reply.header().type() == Header.Type.EXCEPTION) {
+            return exception(reply);
+        }
+        boolean probing = attempt.request() == probe;
+        Outcome outcome = Outcome.OK;
+        String report = null;
+        StructReader fields = new StructReader(reply.encoding(), reply.body());
+        while (fields.next()) {
+            if (probing && fields.id() == Conventions.SUCCESS && fields.isStruct()) {
+                StructReader health = fields.struct();
+                outcome = Outcome.ERROR;
+                while (health.next()) {
+                    if (health.id() == Conventions.READY && Boolean.TRUE.equals(health.bool())) {
+                        outcome = Outcome.OK;
+                    } else if (health.id() == Conventions.HEALTH_LOAD) {
+                        report = health.string();
+                    }
+                }
+            } else if (fields.id() == Conventions.REFUSED && fields.isStruct()) {
+                outcome = Outcome.FULL;
+            } else if (fields.id() == Conventions.FAILED && fields.isStruct()) {
+                outcome = Outcome.ERROR;
+            } else if (fields.id() == Conventions.LOAD) {
+                report = fields.string();
+            }
+        }
+        return new Result(outcome, load.read(report), outcome == Outcome.OK ? new ThriftReply(reply) : null, null);
+    }
+
+    private static Result exception(Message reply) {
+        long type = 0;
+        StructReader fields = new StructReader(reply.encoding(), reply.body());
+        while (fields.next()) {
+            if (fields.id() == Conventions.APPLICATION_TYPE) {
+                Long said = fields.number();
+                type = said == null ? 0 : said;
+            }
+        }
+        boolean blamesCall = type == Conventions.UNKNOWN_METHOD || type == Conventions.INVALID_MESSAGE_TYPE
+            || type >= Conventions.PROTOCOL_ERROR && type <= Conventions.UNSUPPORTED_CLIENT_TYPE;
+        return new Result(Outcome.ERROR, NO_LOAD, null, blamesCall ? new ThriftReply(reply) : null);
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/thrift/codec/StructWriter.java
@@ -0,0 +1,91 @@
+package gatefront.thrift.codec;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+
+/** Writes one struct of a few simple fields, in the order of their ids. */
+public final class StructWriter {
+    private final Encoding encoding;
+    private final ByteBuf out = Unpooled.buffer(64);
+    private int last;
+
+    /** Begins a struct. */
+    public StructWriter(Encoding encoding) {
+        this.encoding = encoding;
+    }
+
+    private void field(int id, int binaryType, int compactType) {
+        if (encoding != Encoding.COMPACT) {
+            out.writeByte(binaryType).writeShort(id);
+        } else if (id > last && id - last <= 15) {
+            out.writeByte(id - last << 4 | compactType);
+        } else {
+            out.writeByte(compactType);
+            MessageEncoder.varint(zigzag(id), out);
+        }
+        last = id;
+    }
+
+    private static long zigzag(long value) {
+        return value << 1 ^ value >> 63;
+    }
+
+    /** A field of type string or binary. */
+    public StructWriter string(int id, String value) {
+        field(id, 11, 8);
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        if (encoding == Encoding.COMPACT) {
+            MessageEncoder.varint(bytes.length, out);
+        } else {
+            out.writeInt(bytes.length);
+        }
+        out.writeBytes(bytes);
+        return this;
+    }
+
+    /** A field of type i32. */
+    public StructWriter i32(int id, int value) {
+        field(id, 8, 5);
+        if (encoding == Encoding.COMPACT) {
+            MessageEncoder.varint(zigzag(value), out);
+        } else {
+            out.writeInt(value);
+        }
+        return this;
+    }
+
+    /** A field of type i64. */
+    public StructWriter i64(int id, long value) {
+        field(id, 10, 6);
+        if (encoding == Encoding.COMPACT) {
+            MessageEncoder.varint(zigzag(value), out);
+        } else {
+            out.writeLong(value);
+        }
+        return this;
+    }
+
+    /** A field of type bool. */
+    public StructWriter bool(int id, boolean value) {
+        field(id, 2, value ? 1 : 2);
+        if (encoding != Encoding.COMPACT) {
+            out.writeByte(value ? 1 : 0);
+        }
+        return this;
+    }
+
+    /** A field that is a struct, whose bytes are another writer's. */
+    public StructWriter struct(int id, byte[] struct) {
+        field(id, 12, 12);
+        out.writeBytes(struct);
+        return this;
+    }
+
+    /** Ends the struct and returns its bytes. */
+    public byte[] end() {
+        out.writeByte(0);
+        return ByteBufUtil.getBytes(out);
+    }
+}
--- a/src/main/java/gatefront/rehearsal/plan/KeyLines.java
+++ b/src/main/java/gatefront/toml/KeyLines.java
@@ -1,4 +1,4 @@
-package gatefront.rehearsal.plan;
+package gatefront.toml;
 
 import java.util.HashMap;
 import java.util.List;
@@ -8,7 +8,7 @@
 
 /**
  * The line of each key of a TOML file, by its path: the library tells what a file says, and not where. Written
- * for the forms that plans use (tables, arrays of tables, a key a line); a key that it does not find has the line
+ * for the forms that these files use (tables, arrays of tables, a key a line); a key that it does not find has the line
  * of the table around it.
  */
 final class KeyLines {
--- a/src/main/java/gatefront/rehearsal/plan/Table.java
+++ b/src/main/java/gatefront/toml/Table.java
@@ -1,4 +1,4 @@
-package gatefront.rehearsal.plan;
+package gatefront.toml;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -9,8 +9,8 @@
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
-/** One table of a plan, whose keys are taken one by one; what is left over in the end was not meant. */
-final class Table {
+/** One table of a file, whose keys are taken one by one; what is left over in the end was not meant. */
+public final class Table {
     private final String file;
     private final KeyLines lines;
     private final String path;
@@ -29,12 +29,13 @@
         return path.isEmpty() ? key : path + "." + key;
     }
 
-    PlanException bad(String key, String what) {
-        return new PlanException(file + ":" + lines.of(at(key)) + ": " + at(key) + ": " + what);
+    /** What is wrong with a key, as one line; to be thrown. */
+    public TomlException bad(String key, String what) {
+        return new TomlException(file + ":" + lines.of(at(key)) + ": " + at(key) + ": " + what);
     }
 
     /** A key is missing; where another looks as if it were meant, the message is about that one. */
-    private PlanException missing(String key, String what) {
+    private TomlException missing(String key, String what) {
         for (Iterator<String> names = node.fieldNames(); names.hasNext();) {
             String name = names.next();
             if (!taken.contains(name) && distance(name, key) <= Math.max(1, key.length() / 3)) {
@@ -49,12 +50,13 @@
         return node.path(key);
     }
 
-    boolean has(String key) {
+    /** Whether a key is there. */
+    public boolean has(String key) {
         return node.has(key);
     }
 
     /** A table within; one that is missing is taken as empty. */
-    Table table(String key) throws PlanException {
+    public Table table(String key) throws TomlException {
         JsonNode found = take(key);
         if (!found.isMissingNode() && !found.isObject()) {
             throw bad(key, "is to be a table, as in [" + at(key) + "]");
@@ -65,7 +67,7 @@
     }
 
     /** The tables of an array of tables, perhaps none. */
-    List<Table> tables(String key) throws PlanException {
+    public List<Table> tables(String key) throws TomlException {
         JsonNode found = take(key);
         if (!found.isMissingNode() && !found.isArray()) {
             throw bad(key, "is to be a list of tables, as in [[" + at(key) + "]]");
@@ -81,7 +83,8 @@
         return tables;
     }
 
-    String text(String key, String otherwise) throws PlanException {
+    /** A text; null for {@code otherwise} if it must be there. */
+    public String text(String key, String otherwise) throws TomlException {
         JsonNode found = take(key);
         if (found.isMissingNode() && otherwise != null) {
             return otherwise;
@@ -93,7 +96,8 @@
         return found.asText();
     }
 
-    List<String> texts(String key) throws PlanException {
+    /** A list of texts, perhaps none. */
+    public List<String> texts(String key) throws TomlException {
         JsonNode found = take(key);
         List<String> texts = new ArrayList<>();
         if (!found.isMissingNode() && !found.isArray()) {
@@ -108,7 +112,8 @@
         return texts;
     }
 
-    boolean flag(String key, boolean otherwise) throws PlanException {
+    /** True or false. */
+    public boolean flag(String key, boolean otherwise) throws TomlException {
         JsonNode found = take(key);
         if (!found.isMissingNode() && !found.isBoolean()) {
             throw bad(key, "is to be true or false");
@@ -117,7 +122,7 @@
     }
 
     /** One of some words. */
-    String word(String key, String otherwise, List<String> words) throws PlanException {
+    public String word(String key, String otherwise, List<String> words) throws TomlException {
         String word = text(key, otherwise);
         if (!words.contains(word)) {
             throw bad(key, "\"" + word + "\" is none of " + String.join(", ", words) + meant(word, words));
@@ -125,7 +130,8 @@
         return word;
     }
 
-    int whole(String key, int otherwise, int least, int most) throws PlanException {
+    /** A whole number within bounds. */
+    public int whole(String key, int otherwise, int least, int most) throws TomlException {
         double value = number(key, (double) otherwise, least, most);
         if (value != StrictMath.rint(value)) {
             throw bad(key, "is to be a whole number, not " + value);
@@ -133,7 +139,8 @@
         return (int) value;
     }
 
-    double number(String key, Double otherwise, double least, double most) throws PlanException {
+    /** A number within bounds; null for {@code otherwise} if it must be there. */
+    public double number(String key, Double otherwise, double least, double most) throws TomlException {
         Range range = range(key, otherwise == null ? null : new Range(otherwise, otherwise), least, most);
         if (range.low() != range.high()) {
             throw bad(key, "is to be one number, not a range");
@@ -141,7 +148,8 @@
         return range.low();
     }
 
-    Range range(String key, Range otherwise, double least, double most) throws PlanException {
+    /** A number or a range of two, within bounds; null for {@code otherwise} if it must be there. */
+    public Range range(String key, Range otherwise, double least, double most) throws TomlException {
         JsonNode found = take(key);
         if (found.isMissingNode()) {
             if (otherwise == null) {
@@ -171,7 +179,7 @@
     }
 
     /** Refuses what nobody has taken: it was meant, and would not be heeded. */
-    void finish() throws PlanException {
+    public void finish() throws TomlException {
         List<String> names = new ArrayList<>();
         node.fieldNames().forEachRemaining(names::add);
         for (String name : names) {
--- /dev/null
+++ b/src/main/java/gatefront/toml/TomlFile.java
@@ -0,0 +1,57 @@
+package gatefront.toml;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+
+/** Reads TOML files. */
+public final class TomlFile {
+    private static final long BYTES_MOST = 1 << 20;
+
+    private TomlFile() { }
+
+    /**
+     * Reads a file.
+     *
+     * @param path where it is
+     * @param otherwise what to say besides where there is none
+     * @return its text
+     * @throws TomlException if it cannot be read
+     */
+    public static String text(Path path, String otherwise) throws TomlException {
+        try {
+            if (Files.exists(path) && Files.size(path) > BYTES_MOST) {
+                throw new TomlException(path + ":1: is larger than such a file may be, 1 MiB");
+            }
+            return Files.readString(path);
+        } catch (NoSuchFileException e) {
+            throw new TomlException(path + ": no such file" + otherwise);
+        } catch (MalformedInputException e) {
+            throw new TomlException(path + ":1: is not text in UTF-8");
+        } catch (IOException e) {
+            throw new TomlException(path + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /**
+     * The table at the top of a text.
+     *
+     * @param file its name in messages
+     * @param text the TOML
+     * @return the table
+     * @throws TomlException if it is not TOML
+     */
+    public static Table parse(String file, String text) throws TomlException {
+        try {
+            return new Table(file, new KeyLines(text.lines().toList()), "", new TomlMapper().readTree(text));
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
+            throw new TomlException(file + ":" + line + ": is not TOML: "
+                + e.getOriginalMessage().lines().findFirst().orElse(""));
+        }
+    }
+}
--- a/src/test/java/gatefront/agent/Peer.java
+++ b/src/test/java/gatefront/agent/Peer.java
@@ -93,6 +93,11 @@
         void run() throws Exception;
     }
 
+    /** What is done with a connection. */
+    interface Serving {
+        void run(Socket socket) throws Exception;
+    }
+
     static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -13,7 +13,7 @@
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.plan.PlanReader;
 import gatefront.rehearsal.plan.PlanWriter;
-import gatefront.rehearsal.plan.Range;
+import gatefront.toml.Range;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
--- a/src/test/java/gatefront/rehearsal/RealRehearsalTest.java
+++ b/src/test/java/gatefront/rehearsal/RealRehearsalTest.java
@@ -8,7 +8,7 @@
 import gatefront.rehearsal.plan.Fault;
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.plan.PlanReader;
-import gatefront.rehearsal.plan.Range;
+import gatefront.toml.Range;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
--- a/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
+++ b/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
@@ -1,5 +1,6 @@
 package gatefront.rehearsal.plan;
 
+import gatefront.toml.TomlException;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -57,7 +58,7 @@
         boolean mark = right.equals("marks = 1");
         assertTrue(mark || text.contains(right), "the plan has that line");
         String broken = mark ? text.replaceFirst("name = \"cashier-rush\"\n", "") : text.replace(right, wrong);
-        String said = assertThrows(PlanException.class, () -> PlanReader.parse("plan.toml", broken)).getMessage();
+        String said = assertThrows(TomlException.class, () -> PlanReader.parse("plan.toml", broken)).getMessage();
         assertEquals(1, said.lines().count(), said);
         assertTrue(said.contains(message), said);
         assertTrue(said.matches("plan\\.toml:[0-9]+: .*"), said);
@@ -69,14 +70,14 @@
 
     @Test
     void aFileThatIsMissingOrNoTextSaysSo() throws Exception {
-        assertTrue(assertThrows(PlanException.class, () -> PlanReader.read(dir.resolve("none"))).getMessage()
+        assertTrue(assertThrows(TomlException.class, () -> PlanReader.read(dir.resolve("none"))).getMessage()
             .contains("no such file; built in are cashier-rush"));
         Path binary = dir.resolve("binary");
         Files.write(binary, new byte[] {(byte) 0xff, (byte) 0xfe, 0, 1});
-        assertTrue(assertThrows(PlanException.class, () -> PlanReader.read(binary)).getMessage()
+        assertTrue(assertThrows(TomlException.class, () -> PlanReader.read(binary)).getMessage()
             .contains("is not text in UTF-8"));
         Path large = dir.resolve("large");
         Files.write(large, new byte[2 << 20]);
-        assertTrue(assertThrows(PlanException.class, () -> PlanReader.read(large)).getMessage().contains("larger"));
+        assertTrue(assertThrows(TomlException.class, () -> PlanReader.read(large)).getMessage().contains("larger"));
     }
 }
--- /dev/null
+++ b/src/test/java/gatefront/thrift/codec/MessageDecoderTest.java
@@ -0,0 +1,335 @@
+package gatefront.thrift.codec;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.thrift.codec.Header.Type;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.apache.thrift.protocol.TField;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
+import org.apache.thrift.protocol.TStruct;
+import org.apache.thrift.protocol.TType;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.junit.jupiter.api.Test;
+
+/** The decoder against messages that the reference implementation writes and reads, and against bytes that lie. */
+class MessageDecoderTest {
+    private static final Form FRAMED = new Form(true, Encoding.BINARY);
+    private static final Form COMPACT = new Form(false, Encoding.COMPACT);
+
+    /** What comes of bytes that arrive in pieces that end before these places. */
+    private static List<Object> decode(byte[] bytes, int... cuts) {
+        EmbeddedChannel channel = new EmbeddedChannel(new MessageDecoder(Limits.USUAL));
+        int from = 0;
+        for (int cut : cuts) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, from, cut - from));
+            from = cut;
+        }
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, from, bytes.length - from));
+        List<Object> out = new ArrayList<>();
+        for (Object each = channel.readInbound(); each != null; each = channel.readInbound()) {
+            out.add(each);
+        }
+        channel.finishAndReleaseAll();
+        return out;
+    }
+
+    private static String why(byte[] bytes) {
+        List<Object> out = decode(bytes);
+        assertEquals(1, out.size(), out.toString());
+        return ((MalformedException) out.get(0)).getMessage();
+    }
+
+    private static byte[] glued(byte[]... parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        Arrays.stream(parts).forEach(out::writeBytes);
+        return out.toByteArray();
+    }
+
+    private static byte[] bytes(int... values) {
+        byte[] bytes = new byte[values.length];
+        for (int i = 0; i < values.length; i++) {
+            bytes[i] = (byte) values[i];
+        }
+        return bytes;
+    }
+
+    private static byte[] call(Form form) throws Exception {
+        return Samples.message(form, "pagar", 1, 7, to -> {
+            to.writeFieldBegin(new TField("texto", TType.STRING, (short) 2));
+            to.writeString("hola");
+            to.writeFieldEnd();
+        });
+    }
+
+    private static byte[] frame(byte[] message) {
+        return glued(bytes(0, 0, message.length >> 8, message.length), message);
+    }
+
+    @Test
+    void everyFormIsToldByItsFirstBytesAndReadWithItsHeader() throws Exception {
+        for (Form form : Samples.FORMS) {
+            EmbeddedChannel channel = new EmbeddedChannel(new MessageDecoder(Limits.USUAL));
+            channel.writeInbound(Unpooled.copiedBuffer(call(form)));
+            Message message = channel.readInbound();
+            assertEquals(new Header("pagar", Type.CALL, 7), message.header(), form.toString());
+            assertEquals(form, channel.pipeline().get(MessageDecoder.class).form());
+            assertFalse(channel.pipeline().get(MessageDecoder.class).leftover());
+        }
+    }
+
+    /** Each message of the reference is found whole, its struct passed on byte for byte, in any pieces. */
+    @Test
+    void messagesOfTheReferenceAreFoundWholeHoweverTheyAreCut() throws Exception {
+        Random random = new Random(5);
+        for (int i = 0; i < 3000; i++) {
+            Form form = Samples.FORMS[i % Samples.FORMS.length];
+            byte[] first = Samples.random(form, random);
+            byte[] second = Samples.random(form, random);
+            byte[] both = glued(first, second);
+            List<Object> whole = decode(both);
+            assertEquals(2, whole.size(), form + " " + whole);
+            int[] cuts = random.ints(random.nextInt(6), 0, both.length + 1).sorted().toArray();
+            same(whole, decode(both, cuts));
+            same(whole.subList(0, 1), decode(first));
+            Message message = (Message) whole.get(0);
+            assertTrue(first.length >= message.body().length);
+            assertArrayEquals(Arrays.copyOfRange(first, first.length - message.body().length, first.length),
+                message.body());
+            ByteBuf again = Unpooled.buffer();
+            MessageEncoder.write(message, form.framed(), again);
+            byte[] written = new byte[again.readableBytes()];
+            again.readBytes(written);
+            assertArrayEquals(first, written, "and the encoder writes what the reference wrote");
+        }
+    }
+
+    private static void same(List<Object> some, List<Object> others) {
+        assertEquals(some.size(), others.size());
+        for (int i = 0; i < some.size(); i++) {
+            if (some.get(i) instanceof MalformedException malformed) {
+                assertEquals(malformed.getMessage(), ((MalformedException) others.get(i)).getMessage());
+                continue;
+            }
+            Message one = (Message) some.get(i);
+            Message other = (Message) others.get(i);
+            assertEquals(one.header(), other.header());
+            assertArrayEquals(one.body(), other.body());
+        }
+    }
+
+    @Test
+    void aMessageThatComesByteByByteIsReadOnce() throws Exception {
+        byte[] bytes = Samples.message(FRAMED, "m", 1, 1, to -> {
+            to.writeFieldBegin(new TField("f", TType.STRING, (short) 1));
+            to.writeString("x".repeat(30_000));
+            to.writeFieldEnd();
+        });
+        int[] cuts = new int[bytes.length - 1];
+        Arrays.setAll(cuts, i -> i + 1);
+        same(decode(bytes), decode(bytes, cuts));
+    }
+
+    @Test
+    void whatOurWriterWritesTheReferenceReads() throws Exception {
+        for (Encoding encoding : Encoding.values()) {
+            byte[] inner = new StructWriter(encoding).string(1, "r-1").i64(40, -5).bool(41, true).bool(42, false).end();
+            byte[] body = new StructWriter(encoding).struct(1, inner).i32(2, -77).end();
+            ByteBuf out = Unpooled.buffer();
+            MessageEncoder.write(new Message(encoding, new Header("saldo", Type.CALL, -3), body), false, out);
+            TProtocol in = Samples.protocol(encoding, new TMemoryInputTransport(out.array(), 0, out.readableBytes()));
+            TMessage head = in.readMessageBegin();
+            assertEquals("saldo", head.name);
+            assertEquals(-3, head.seqid);
+            in.readStructBegin();
+            assertEquals(1, in.readFieldBegin().id);
+            in.readStructBegin();
+            assertEquals(1, in.readFieldBegin().id);
+            assertEquals("r-1", in.readString());
+            assertEquals(40, in.readFieldBegin().id);
+            assertEquals(-5, in.readI64());
+            assertEquals(41, in.readFieldBegin().id);
+            assertTrue(in.readBool());
+            assertEquals(42, in.readFieldBegin().id);
+            assertFalse(in.readBool());
+            assertEquals(TType.STOP, in.readFieldBegin().type);
+            in.readStructEnd();
+            assertEquals(2, in.readFieldBegin().id);
+            assertEquals(-77, in.readI32());
+            assertEquals(TType.STOP, in.readFieldBegin().type);
+        }
+    }
+
+    @Test
+    void ourReaderFindsFieldsBehindAnythingThatTheReferenceWrites() throws Exception {
+        Random random = new Random(11);
+        for (int i = 0; i < 3000; i++) {
+            Form form = Samples.FORMS[i % Samples.FORMS.length];
+            Message message = (Message) decode(Samples.withoutUuids(form, random)).get(0);
+            StructReader reader = new StructReader(message.encoding(), message.body());
+            TProtocol in = Samples.protocol(form.encoding(),
+                new TMemoryInputTransport(message.body(), 0, message.body().length));
+            in.readStructBegin();
+            while (reader.next()) {
+                TField field = in.readFieldBegin();
+                assertEquals(field.id, reader.id());
+                switch (field.type) {
+                    case TType.I64 -> assertEquals(in.readI64(), reader.number());
+                    case TType.I32 -> assertEquals(in.readI32(), reader.number().intValue());
+                    case TType.I16 -> assertEquals(in.readI16(), reader.number().shortValue());
+                    case TType.BYTE -> assertEquals(in.readByte(), reader.number().byteValue());
+                    case TType.BOOL -> assertEquals(in.readBool(), reader.bool());
+                    case TType.STRING -> {
+                        byte[] bytes = new byte[in.readBinary().remaining()];
+                        assertNull(reader.number());
+                        assertTrue(bytes.length == 0 || !reader.string().isEmpty());
+                    }
+                    default -> TProtocolUtil.skip(in, field.type); // and ours passes over it by itself
+                }
+                in.readFieldEnd();
+            }
+            assertEquals(TType.STOP, in.readFieldBegin().type);
+        }
+    }
+
+    @Test
+    void framesWithLengthsThatNoFrameHasAreRefused() throws Exception {
+        assertTrue(why(glued(bytes(0, 0, 0, 0), bytes(0x80, 1, 0, 1))).contains("a frame of 0 bytes"));
+        assertTrue(why(bytes(0xff, 0xff, 0xff, 0xff, 0x80)).contains("neither"));
+        assertTrue(why(bytes(0x7f, 0xff, 0xff, 0xff, 0x80, 1)).contains("a frame of 2147483647 bytes"));
+        EmbeddedChannel fixed = new EmbeddedChannel(new MessageDecoder(Limits.USUAL, FRAMED));
+        fixed.writeInbound(Unpooled.copiedBuffer(bytes(0x80, 0, 0, 0, 0x80)));
+        assertTrue(((MalformedException) fixed.readInbound()).getMessage().contains("a frame of -2147483648 bytes"));
+    }
+
+    @Test
+    void framesThatDisagreeWithTheStructInsideAreRefused() throws Exception {
+        byte[] message = call(new Form(false, Encoding.BINARY));
+        assertTrue(why(frame(glued(message, bytes(1)))).contains("around a message of"));
+        assertTrue(why(frame(Arrays.copyOf(message, message.length - 1))).contains("longer than"));
+        assertTrue(why(frame(glued(message, message))).contains("around a message of"), "two calls in one frame");
+    }
+
+    @Test
+    void lengthsAndCountsOverWhatIsLeftAreRefusedWhenTheyAreSaid() {
+        byte[] compact = bytes(0x82, 0x21, 1, 1, 'm');
+        byte[] binary = bytes(0x80, 1, 0, 1, 0, 0, 0, 1, 'm', 0, 0, 0, 1);
+        for (byte[] lie : List.of(
+            glued(binary, bytes(11, 0, 1, 0x7f, 0xff, 0xff, 0xff)), glued(binary, bytes(11, 0, 1, 0xff, 0, 0, 0)),
+            glued(binary, bytes(15, 0, 1, 12, 0x7f, 0xff, 0xff, 0xff)), glued(binary, bytes(14, 0, 1, 3, 0xff, 0, 0, 0)),
+            glued(binary, bytes(13, 0, 1, 3, 3, 0x40, 0, 0, 0)), glued(binary, bytes(13, 0, 1, 3, 3, 0x80, 0, 0, 0)),
+            glued(compact, bytes(0x18, 0xff, 0xff, 0xff, 0xff, 0x0f)),
+            glued(compact, bytes(0x19, 0xf3, 0xff, 0xff, 0xff, 0x7f)),
+            glued(compact, bytes(0x1b, 0xff, 0xff, 0xff, 0x7f, 0x33)))) {
+            assertTrue(why(lie).startsWith("says "), why(lie));
+        }
+    }
+
+    @Test
+    void varintsWithoutEndAndUnknownTypesAndVersionsAreRefused() {
+        byte[] compact = bytes(0x82, 0x21, 1, 1, 'm');
+        byte[] endless = bytes(0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff);
+        for (int type : new int[] {0x14, 0x15, 0x16, 0x18, 0x1b}) {
+            assertEquals("a varint without an end", why(glued(compact, bytes(type), endless)));
+        }
+        assertEquals("a varint without an end", why(glued(bytes(0x82, 0x21), endless)));
+        assertTrue(why(glued(compact, bytes(0x1e))).contains("type 14"));
+        assertTrue(why(glued(compact, bytes(0x10))).contains("type 0"));
+        assertTrue(why(glued(compact, bytes(0x19, 0x10))).contains("type 0"), "values that would take no bytes");
+        assertTrue(why(bytes(0x82, 0x22, 1)).contains("version"));
+        assertTrue(why(bytes(0x80, 2, 0, 1, 0, 0, 0, 1)).contains("version"));
+        assertTrue(why(bytes(0x80, 1, 0, 9, 0, 0, 0, 1)).contains("message type 9"));
+        byte[] binary = bytes(0x80, 1, 0, 1, 0, 0, 0, 1, 'm', 0, 0, 0, 1);
+        assertTrue(why(glued(binary, bytes(1, 0, 1))).contains("type 1"));
+        assertTrue(why(glued(binary, bytes(99, 0, 1))).contains("type 99"));
+        assertTrue(why(bytes(0x80, 1, 0, 1, 0x7f, 0, 0, 0)).contains("name of"));
+        assertTrue(why(bytes(0x80, 1, 0, 1, 0, 0, 0, 1, '\n', 0, 0, 0, 1)).contains("character"));
+        assertTrue(why("GET / HTTP/1.1\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII)).contains("form"));
+    }
+
+    @Test
+    void whatIsNestedTenThousandDeepIsRefused() {
+        byte[] deep = new byte[10_020];
+        byte[] head = bytes(0x82, 0x21, 1, 1, 'm');
+        System.arraycopy(head, 0, deep, 0, head.length);
+        Arrays.fill(deep, head.length, deep.length, (byte) 0x1c);
+        assertEquals("nested more than 32 deep", why(deep));
+        Arrays.fill(deep, head.length, deep.length, (byte) 0x19); // a list of one list of one list ...
+        assertEquals("nested more than 32 deep", why(deep));
+    }
+
+    @Test
+    void aMessageOverTheLimitIsRefusedBeforeItIsKept() throws Exception {
+        byte[] large = Samples.message(COMPACT, "m", 1, 1, to -> {
+            for (int i = 1; i < 5; i++) {
+                to.writeFieldBegin(new TField("f", TType.STRING, (short) i));
+                to.writeString("x".repeat(20_000));
+                to.writeFieldEnd();
+            }
+        });
+        assertTrue(why(large).contains("20000 bytes where"), why(large));
+    }
+
+    @Test
+    void afterAMessageOfAnotherFormNothingMoreIsRead() throws Exception {
+        List<Object> out = decode(glued(call(FRAMED), call(COMPACT), call(FRAMED)));
+        assertEquals(2, out.size());
+        assertTrue(out.get(1) instanceof MalformedException);
+    }
+
+    /**
+     * Several hundred thousand mutated messages: nothing but a message or a reason comes of them, in pieces the same
+     * as whole, and the reader goes through whatever the decoder lets pass.
+     */
+    @Test
+    void mutatedMessagesAreMessagesOrReasonsTheSameInPiecesAsWhole() throws Exception {
+        Random random = new Random(42);
+        int passed = 0;
+        List<byte[]> seeds = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            seeds.add(Samples.random(Samples.FORMS[i % Samples.FORMS.length], random));
+        }
+        for (int i = 0; i < 200_000; i++) {
+            byte[] bytes = seeds.get(random.nextInt(seeds.size())).clone();
+            if (random.nextInt(8) == 0) {
+                bytes = Arrays.copyOf(bytes, random.nextInt(bytes.length + 8));
+            }
+            for (int m = random.nextInt(4); m >= 0 && bytes.length > 0; m--) {
+                int at = random.nextInt(bytes.length);
+                switch (random.nextInt(4)) {
+                    case 0 -> bytes[at] = (byte) random.nextInt();
+                    case 1 -> bytes[at] ^= (byte) (1 << random.nextInt(8));
+                    case 2 -> bytes[at] = (byte) (random.nextBoolean() ? 0xff : 0x7f);
+                    default -> Arrays.fill(bytes, at, Math.min(bytes.length, at + 4), (byte) random.nextInt());
+                }
+            }
+            List<Object> whole = decode(bytes);
+            int cut = random.nextInt(bytes.length + 1);
+            same(whole, decode(bytes, cut));
+            for (Object each : whole) {
+                if (each instanceof Message message) {
+                    passed++;
+                    StructReader reader = new StructReader(message.encoding(), message.body());
+                    while (reader.next()) {
+                        if (random.nextBoolean()) {
+                            reader.string();
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(passed > 20_000 && passed < 190_000, passed + " of them are still messages");
+    }
+}
