Rehearsals over Thrift: callers, agents and nodos speak any form of it

Need: a plan can set what is spoken; the rush over Thrift must fare as over HTTP, under the same checker.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -158,17 +158,20 @@
      * Starts an agent on a given loop and network and returns at once; called on that loop.
      *
      * @param config its configuration
+     * @param thrift how it speaks Thrift, or null if it does not
      * @param transport its loop, clock and network
      * @param module makes its decision module
      * @return the agent, about to listen
      */
-    public static Agent start(Config config, Transport transport, Function<Engine, Balancer> module) {
-        Agent agent = new Agent(config, null, transport, module);
-        agent.clients.listen().addListener(done -> {
-            if (done.isSuccess()) {
+    public static Agent start(Config config, ThriftSettings thrift, Transport transport,
+                              Function<Engine, Balancer> module) {
+        Agent agent = new Agent(config, thrift, transport, module);
+        int[] waiting = {agent.fronts.size()};
+        agent.fronts.forEach(each -> each.listen().addListener(done -> {
+            if (done.isSuccess() && --waiting[0] == 0) {
                 agent.begin();
             }
-        });
+        }));
         return agent;
     }
 
--- a/src/main/java/gatefront/agent/Extensions.java
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -45,8 +45,8 @@
 
     static Extensions parse(String file, String text, Config config) throws TomlException {
         Table top = TomlFile.parse(file, text);
-        boolean has = top.has("thrift");
-        ThriftSettings thrift = has ? thrift(top.table("thrift"), config) : null;
+        Table table = top.table("thrift");
+        ThriftSettings thrift = top.has("thrift") ? thrift(table, config) : null;
         top.finish();
         return new Extensions(thrift);
     }
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -6,12 +6,16 @@
 import gatefront.policy.Balancer.Semantics;
 import gatefront.rehearsal.net.Machine;
 import gatefront.rehearsal.plan.Plan;
+import gatefront.thrift.ThriftSettings;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.Map;
 
 /** One agent and its machine: how it is configured, started and ended. */
 abstract class AgentStand {
     static final int PORT = 3000;
+    static final int THRIFT_PORT = 3001;
 
     final Day day;
     final int number;
@@ -30,6 +34,23 @@
         return machine().at(PORT);
     }
 
+    /** The same over Thrift. */
+    InetSocketAddress thriftAddress() {
+        return machine().at(THRIFT_PORT);
+    }
+
+    /** How it speaks Thrift, or null if it does not. */
+    ThriftSettings thrift() {
+        if (day.form == null) {
+            return null;
+        }
+        Map<String, ThriftSettings.Method> methods = new LinkedHashMap<>();
+        for (int i = 0; i < day.plan.classes().size(); i++) {
+            methods.put(day.plan.classes().get(i).name(), new ThriftSettings.Method(i, true));
+        }
+        return new ThriftSettings(thriftAddress(), null, NodoStand.THRIFT_PORT, day.form.framed(), true, methods);
+    }
+
     String name() {
         return "agent-" + (number + 1);
     }
--- a/src/main/java/gatefront/rehearsal/CallerStand.java
+++ b/src/main/java/gatefront/rehearsal/CallerStand.java
@@ -6,10 +6,17 @@
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Patience;
+import gatefront.thrift.codec.Header;
+import gatefront.thrift.codec.Limits;
+import gatefront.thrift.codec.Message;
+import gatefront.thrift.codec.MessageDecoder;
+import gatefront.thrift.codec.MessageEncoder;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -127,12 +134,12 @@
             return;
         }
         lines++;
-        Line fresh = new Line();
+        Line fresh = day.form == null ? new HttpLine() : new ThriftLine();
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
                 fresh.channel = ch;
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST), fresh);
+                ch.pipeline().addLast(fresh.codec()).addLast(fresh);
             }
         }).connect();
         connecting.channel().closeFuture().addListener(closed -> lines--);
@@ -190,77 +197,51 @@
         }
     }
 
-    /** One connection to the agent. */
-    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private Channel channel;
+    /** One connection to the agent, whatever protocol it speaks. */
+    private abstract class Line extends SimpleChannelInboundHandler<Object> {
+        Channel channel;
         private Try current;
         private boolean used;
 
+        /** What stands before it in its pipeline. */
+        abstract ChannelHandler[] codec();
+
+        /** What is written for a try. */
+        abstract Object request(Try made);
+
         void send(Try made) {
             current = made;
             made.line = this;
             Wish wish = made.wish;
-            Demand.Want want = wish.want;
-            boolean safe = wish.kind.semantics() == Semantics.SAFE;
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                "/" + wish.kind.name() + "?n=" + want.number(),
-                safe ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer(BODY, StandardCharsets.US_ASCII));
-            HttpHeaders headers = request.headers();
-            headers.set(HttpHeaderNames.HOST, "origin.svc").set("Request-Id", made.id)
-                .set("Request-Class", wish.kind.name()).set("Work-Hint", want.hint())
-                .set("Request-Timeout-Ms", Math.max(1, (made.deadline - day.now()) / 1000));
-            if (!day.plan.tenants().isEmpty()) {
-                headers.set("Tenant", day.plan.tenants().get(want.tenant()).name());
-            }
-            if (wish.tries > 1 && day.plan.callers().marksRetry()) {
-                headers.set("Client-Retry", "1");
-            }
-            if (!safe) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, BODY.length());
-            }
-            if (wish.kind.semantics() == Semantics.KEYED) {
-                headers.set("Idempotency-Key", wish.key);
-            }
-            channel.writeAndFlush(request).addListener(done -> {
+            channel.writeAndFlush(request(made)).addListener(done -> {
                 if (done.isSuccess() && !made.over) {
                     made.taken = true;
                     wish.firstSentAt = wish.firstSentAt < 0 ? day.now() : wish.firstSentAt;
-                    day.checker.taken(day.now(), made.id, want.kind(), agent, made.deadline);
+                    day.checker.taken(day.now(), made.id, wish.want.kind(), agent, made.deadline);
                 } // else: its end is told by channelInactive
             });
         }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        /** The try that waits for an answer here, or null. */
+        final Try current() {
+            return current;
+        }
+
+        /** Its answer has come whole: a status as HTTP has them, what was served, the wait advised. */
+        final void answered(int status, String body, boolean kept, long retryAfterMicros) {
             Try made = current;
-            if (made == null) {
-                ctx.close();
-                return;
-            }
             current = null;
-            int status = response.status().code();
-            String body = response.content().toString(StandardCharsets.US_ASCII);
-            long at = day.micros(machine.sentAt(ctx.channel()));
+            long at = day.micros(machine.sentAt(channel));
             day.checker.answered(at, made.id, status, status == 200 ? body : null);
-            if (HttpUtil.isKeepAlive(response)) {
+            if (kept) {
                 used = true;
                 idle.addLast(this);
             } else {
-                ctx.close();
+                channel.close();
             }
             Patience.Fate fate = status == 200 ? Patience.Fate.SERVED
                 : status == 429 || status == 503 ? Patience.Fate.REFUSED : Patience.Fate.FAILED;
-            end(made, fate, retryAfter(response));
-        }
-
-        private long retryAfter(FullHttpResponse response) {
-            String text = response.headers().get(HttpHeaderNames.RETRY_AFTER);
-            try {
-                return text == null ? 0 : Math.min((long) (1e6 * Double.parseDouble(text)),
-                    (long) (1000 * day.plan.callers().retryAfterMs()));
-            } catch (NumberFormatException e) {
-                return 0; // a date, which no agent sends
-            }
+            end(made, fate, Math.min(retryAfterMicros, (long) (1000 * day.plan.callers().retryAfterMs())));
         }
 
         @Override
@@ -291,4 +272,103 @@
             ctx.close();
         }
     }
+    /** One over HTTP/1.1. */
+    private final class HttpLine extends Line {
+        @Override
+        ChannelHandler[] codec() {
+            return new ChannelHandler[] {new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST)};
+        }
+
+        @Override
+        Object request(Try made) {
+            Wish wish = made.wish;
+            Demand.Want want = wish.want;
+            boolean safe = wish.kind.semantics() == Semantics.SAFE;
+            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
+                "/" + wish.kind.name() + "?n=" + want.number(),
+                safe ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer(BODY, StandardCharsets.US_ASCII));
+            HttpHeaders headers = request.headers();
+            headers.set(HttpHeaderNames.HOST, "origin.svc").set("Request-Id", made.id)
+                .set("Request-Class", wish.kind.name()).set("Work-Hint", want.hint())
+                .set("Request-Timeout-Ms", millisLeft(made));
+            if (!day.plan.tenants().isEmpty()) {
+                headers.set("Tenant", tenant(want));
+            }
+            if (repeats(wish)) {
+                headers.set("Client-Retry", "1");
+            }
+            if (!safe) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, BODY.length());
+            }
+            if (wish.kind.semantics() == Semantics.KEYED) {
+                headers.set("Idempotency-Key", wish.key);
+            }
+            return request;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Object read) {
+            if (current() == null) {
+                ctx.close();
+                return;
+            }
+            FullHttpResponse response = (FullHttpResponse) read;
+            answered(response.status().code(), response.content().toString(StandardCharsets.US_ASCII),
+                HttpUtil.isKeepAlive(response), retryAfter(response));
+        }
+
+        private long retryAfter(FullHttpResponse response) {
+            String text = response.headers().get(HttpHeaderNames.RETRY_AFTER);
+            try {
+                return text == null ? 0 : (long) (1e6 * Double.parseDouble(text));
+            } catch (NumberFormatException e) {
+                return 0; // a date, which no agent sends
+            }
+        }
+    }
+
+    /** One over Thrift. */
+    private final class ThriftLine extends Line {
+        private int seqid;
+
+        @Override
+        ChannelHandler[] codec() {
+            return new ChannelHandler[] {new MessageDecoder(Limits.USUAL)};
+        }
+
+        @Override
+        Object request(Try made) {
+            Wish wish = made.wish;
+            byte[] arguments = Speech.call(day.form.encoding(), made.id, millisLeft(made),
+                day.plan.tenants().isEmpty() ? null : tenant(wish.want), wish.want.hint(), repeats(wish),
+                wish.kind.semantics() == Semantics.KEYED ? wish.key : null, BODY);
+            ByteBuf out = Unpooled.buffer(arguments.length + 64);
+            Header header = new Header(wish.kind.name(), Header.Type.CALL, ++seqid);
+            MessageEncoder.write(new Message(day.form.encoding(), header, arguments), day.form.framed(), out);
+            return out;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Object read) {
+            if (current() == null || !(read instanceof Message reply) || reply.header().seqid() != seqid) {
+                ctx.close();
+                return;
+            }
+            Speech.Heard heard = Speech.heard(reply);
+            boolean served = reply.header().type() == Header.Type.REPLY && heard.success() != null;
+            answered(served ? 200 : heard.refused() ? 503 : 502, heard.success(), true, heard.retryAfterMicros());
+        }
+    }
+
+    private long millisLeft(Try made) {
+        return Math.max(1, (made.deadline - day.now()) / 1000);
+    }
+
+    private String tenant(Demand.Want want) {
+        return day.plan.tenants().get(want.tenant()).name();
+    }
+
+    private boolean repeats(Wish wish) {
+        return wish.tries > 1 && day.plan.callers().marksRetry();
+    }
 }
--- a/src/main/java/gatefront/rehearsal/Day.java
+++ b/src/main/java/gatefront/rehearsal/Day.java
@@ -6,6 +6,7 @@
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Draw;
 import gatefront.rehearsal.world.Repeats;
+import gatefront.thrift.codec.Form;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
@@ -34,6 +35,8 @@
     final Plan plan;
     final long seed;
     final Cast cast;
+    /** What Thrift is spoken; null for HTTP. */
+    final Form form;
     final RuleChecker checker;
     final Record record;
     final Machines machines;
@@ -65,6 +68,7 @@
         };
         this.addresses = addresses;
         this.cast = Cast.of(plan, seed);
+        this.form = Speech.form(plan.network().protocol());
         this.checker = new RuleChecker(new RuleChecker.Limits((long) (1000 * plan.rules().slackMs()),
             (long) (1000 * plan.rules().drainMs()), slack), plan.classes().stream()
             .map(each -> new RuleChecker.Kind(each.name(), each.semantics(), each.scope(),
@@ -131,7 +135,7 @@
             AgentStand agent = agentStands.apply(i);
             agents.add(agent);
             callers.add(new CallerStand(this, i, machines.make("caller-" + (i + 1), addresses.of(9, i),
-                cast.agentZones()[i], 1 << 30, line -> { }), agent.address()));
+                cast.agentZones()[i], 1 << 30, line -> { }), form == null ? agent.address() : agent.thriftAddress()));
             agent.start();
         }
     }
--- a/src/main/java/gatefront/rehearsal/NodoStand.java
+++ b/src/main/java/gatefront/rehearsal/NodoStand.java
@@ -8,7 +8,13 @@
 import gatefront.rehearsal.world.Draw;
 import gatefront.rehearsal.world.NodoModel;
 import gatefront.rehearsal.world.Repeats;
+import gatefront.thrift.codec.Header;
+import gatefront.thrift.codec.Limits;
+import gatefront.thrift.codec.Message;
+import gatefront.thrift.codec.MessageDecoder;
+import gatefront.thrift.codec.MessageEncoder;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,9 +40,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** A nodo de cuentas over HTTP/1.1: the model decides how requests fare, this carries it out. */
+/** A nodo de cuentas over HTTP/1.1 or Thrift: the model decides how requests fare, this carries it out. */
 final class NodoStand {
     static final int PORT = 3000;
+    static final int THRIFT_PORT = 3001;
     /** The work of finding that a repeat has been done already. */
     private static final double REPEAT_WORK = 1_000;
     private static final int PADDING = 300;
@@ -150,9 +157,13 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpServerCodec(), new Serving());
+                    if (day.form == null) {
+                        ch.pipeline().addLast(new HttpServerCodec(), new HttpServing());
+                    } else {
+                        ch.pipeline().addLast(new MessageDecoder(Limits.USUAL), new ThriftServing());
+                    }
                 }
-            }).bind(machine.at(PORT)), name());
+            }).bind(machine.at(day.form == null ? PORT : THRIFT_PORT)), name());
     }
 
     /** Its process ends outright. */
@@ -297,16 +308,30 @@
     /** Requests of which not all has come. */
     private final Map<Serving, Serving> half = new LinkedHashMap<>();
 
-    /** One connection. */
-    private final class Serving extends SimpleChannelInboundHandler<HttpObject> {
+    /** One connection, whatever protocol it speaks. */
+    private abstract class Serving extends SimpleChannelInboundHandler<Object> {
         /** The process that it belongs to. */
-        private final NodoModel process = model;
-        private ChannelHandlerContext ctx;
-        private HttpRequest head;
+        final NodoModel process = model;
+        ChannelHandlerContext ctx;
         private String id;
         private int attempt = -1;
         private Job job;
 
+        /** An answer that a nodo has made. */
+        abstract void serve(String body);
+
+        /** Half of it and a reset, or the reset alone. */
+        abstract void breaks(String body, boolean half);
+
+        /** The nodo fails it at once. */
+        abstract void fail();
+
+        /** The nodo turns it away unseen. */
+        abstract void turnAway();
+
+        /** The nodo knows nothing of it. */
+        abstract void reject();
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             ctx = context;
@@ -342,57 +367,46 @@
             context.close();
         }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (part.decoderResult().isFailure() || process != model) {
-                context.close();
-                return;
-            }
-            if (part instanceof HttpRequest request) {
-                head = request;
-                resting.remove(this);
-                id = request.headers().get("Request-Id");
-                if (id != null) {
-                    Demand.Want want = day.wants.get(id);
-                    attempt = day.checker.begun(sentAt(context.channel()), id, number, spec.zone(), spec.cell(),
-                        want == null ? -1 : want.agent());
-                    day.record.attempt(day.now());
-                    half.put(this, this);
-                }
-            }
-            if (part instanceof LastHttpContent) {
-                half.remove(this);
-                work();
-                if (id == null) {
-                    probe();
-                } else {
-                    day.checker.whole(sentAt(context.channel()), id, attempt);
-                    arrived();
-                }
-            }
+        /** The first of something has come. */
+        final void inUse() {
+            resting.remove(this);
         }
 
-        private void probe() {
-            boolean load = head.uri().equals("/load");
-            if (!load && !head.uri().equals("/healthz")) {
-                answer(HttpResponseStatus.NOT_FOUND, "", null);
-                return;
-            }
+        /** It was that of a request. */
+        final void begun(String request) {
+            id = request;
+            Demand.Want want = day.wants.get(id);
+            attempt = day.checker.begun(sentAt(ctx.channel()), id, number, spec.zone(), spec.cell(),
+                want == null ? -1 : want.agent());
+            day.record.attempt(day.now());
+            half.put(this, this);
+        }
+
+        /** A question for health has come; its answer is written next. */
+        final void probed() {
+            work();
             model.charge(day.now(), day.cast.probeMicros());
             next();
-            answer(HttpResponseStatus.OK, load ? report() : "", report());
         }
 
-        private void arrived() {
-            Demand.Want want = day.want(id, head.headers().get("Request-Class"));
+        /** The request has come whole. */
+        final void whole(String kind, String key) {
+            half.remove(this);
+            work();
+            day.checker.whole(sentAt(ctx.channel()), id, attempt);
+            arrived(kind, key);
+        }
+
+        private void arrived(String kind, String key) {
+            Demand.Want want = day.want(id, kind);
             Plan.Kind type = want == null ? null : day.plan.classes().get(want.kind());
             if (want == null) {
-                answer(HttpResponseStatus.BAD_REQUEST, "", null);
+                reject();
                 over(Ending.TURNED_AWAY);
                 return;
             }
             Repeats.Entry entry = type.semantics() == Semantics.KEYED
-                ? day.repeats(want.kind(), spec).arrive(day.now(), head.headers().get("Idempotency-Key", "")) : null;
+                ? day.repeats(want.kind(), spec).arrive(day.now(), key) : null;
             double work = entry != null && entry.happened() ? REPEAT_WORK : want.work();
             long mine = nextJob++;
             switch (model.arrive(day.now(), mine, work, want.agent())) {
@@ -402,11 +416,11 @@
                     next();
                 }
                 case FAILS -> {
-                    answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "", report());
+                    fail();
                     over(Ending.ANSWERED);
                 }
                 case TURNED_AWAY -> {
-                    answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", report(), "Not-Started", "1");
+                    turnAway();
                     over(Ending.TURNED_AWAY);
                 }
             }
@@ -421,30 +435,91 @@
             job = null;
         }
 
-        void serve(Job done) {
+        private void serve(Job done) {
             String body = name() + " " + done.id + " " + done.attempt + " " + "=".repeat(PADDING);
             if (breakOff > 0 && draw.unit() < breakOff) {
-                breaks(body);
+                breaks(body, draw.unit() < 0.5);
+                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                ctx.close();
                 over(Ending.LOST);
                 return;
             }
             day.record.served(day.now(), number);
             day.checker.made(done.id, body);
-            answer(HttpResponseStatus.OK, body, report());
+            serve(body);
             over(Ending.ANSWERED);
         }
+    }
+
+    /** One over HTTP/1.1. */
+    private final class HttpServing extends Serving {
+        private HttpRequest head;
+        private boolean request;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Object read) {
+            HttpObject part = (HttpObject) read;
+            if (part.decoderResult().isFailure() || process != model) {
+                context.close();
+                return;
+            }
+            if (part instanceof HttpRequest first) {
+                head = first;
+                inUse();
+                String id = head.headers().get("Request-Id");
+                request = id != null;
+                if (request) {
+                    begun(id);
+                }
+            }
+            if (part instanceof LastHttpContent) {
+                if (request) {
+                    whole(head.headers().get("Request-Class"), head.headers().get("Idempotency-Key", ""));
+                } else {
+                    probe();
+                }
+            }
+        }
 
-        /** Half an answer and a reset, or the reset alone. */
-        private void breaks(String body) {
-            if (draw.unit() < 0.5) {
-                var half = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-                half.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
-                ctx.write(half);
+        private void probe() {
+            boolean load = head.uri().equals("/load");
+            if (!load && !head.uri().equals("/healthz")) {
+                answer(HttpResponseStatus.NOT_FOUND, "", null);
+                return;
+            }
+            probed();
+            answer(HttpResponseStatus.OK, load ? report() : "", report());
+        }
+
+        @Override
+        void serve(String body) {
+            answer(HttpResponseStatus.OK, body, report());
+        }
+
+        @Override
+        void fail() {
+            answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "", report());
+        }
+
+        @Override
+        void turnAway() {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", report(), "Not-Started", "1");
+        }
+
+        @Override
+        void reject() {
+            answer(HttpResponseStatus.BAD_REQUEST, "", null);
+        }
+
+        @Override
+        void breaks(String body, boolean half) {
+            if (half) {
+                var begun = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                begun.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+                ctx.write(begun);
                 ctx.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(
                     body.substring(0, body.length() / 2), StandardCharsets.US_ASCII)));
             }
-            ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-            ctx.close();
         }
 
         private void answer(HttpResponseStatus status, String body, String load, String... more) {
@@ -462,4 +537,67 @@
             rests(this);
         }
     }
+
+    /** One over Thrift; nothing of a call is known before it is whole. */
+    private final class ThriftServing extends Serving {
+        private Message call;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Object read) {
+            if (!(read instanceof Message message) || process != model) {
+                context.close();
+                return;
+            }
+            call = message;
+            inUse();
+            if (message.header().name().equals(Speech.HEALTH)) {
+                probed();
+                answer(Speech.health(message.encoding(), report()));
+                return;
+            }
+            Speech.Said said = Speech.said(message);
+            begun(said.requestId());
+            whole(message.header().name(), said.key());
+        }
+
+        @Override
+        void serve(String body) {
+            answer(Speech.success(call.encoding(), body, report()));
+        }
+
+        @Override
+        void fail() {
+            answer(Speech.failed(call.encoding(), report()));
+        }
+
+        @Override
+        void turnAway() {
+            answer(Speech.refused(call.encoding(), report()));
+        }
+
+        @Override
+        void reject() {
+            answer(Speech.failed(call.encoding(), report()));
+        }
+
+        @Override
+        void breaks(String body, boolean half) {
+            ByteBuf whole = bytes(Speech.success(call.encoding(), body, report()));
+            if (half) {
+                ctx.writeAndFlush(whole.readSlice(whole.readableBytes() / 2));
+            }
+        }
+
+        private ByteBuf bytes(byte[] result) {
+            ByteBuf out = Unpooled.buffer(result.length + PADDING);
+            MessageEncoder.write(new Message(call.encoding(), new Header(call.header().name(), Header.Type.REPLY,
+                call.header().seqid()), result), day.form.framed(), out);
+            return out;
+        }
+
+        private void answer(byte[] result) {
+            ctx.writeAndFlush(bytes(result));
+            rests(this);
+        }
+    }
 }
--- a/src/main/java/gatefront/rehearsal/ProcessAgent.java
+++ b/src/main/java/gatefront/rehearsal/ProcessAgent.java
@@ -95,6 +95,10 @@
             Files.writeString(file, config().toString());
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.environment().put("RELAY_CONFIG", file.toString());
+            if (day.form != null) {
+                Path extensions = Files.writeString(file.resolveSibling(name() + ".toml"), extensions());
+                builder.environment().put("GATEFRONT_EXTENSIONS", extensions.toString());
+            }
             process = builder.start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -111,6 +115,17 @@
         reader.start();
     }
 
+    /** {@link #thrift()} as the agent's file has it. */
+    private String extensions() {
+        InetSocketAddress at = thriftAddress();
+        StringBuilder text = new StringBuilder("[thrift]\nlisten = \"" + at.getAddress().getHostAddress() + ":"
+            + at.getPort() + "\"\nnodo_port = " + NodoStand.THRIFT_PORT + "\nnodo_framed = " + day.form.framed()
+            + "\nprobes = \"thrift\"\n");
+        day.plan.classes().forEach(each -> text.append("\n[[thrift.methods]]\nname = \"" + each.name()
+            + "\"\nclass = \"" + each.name() + "\"\ndeclares = true\n"));
+        return text.toString();
+    }
+
     /** Blocks for a moment; not to be asked on the loop. */
     @Override
     boolean ready() {
--- a/src/main/java/gatefront/rehearsal/plan/Plan.java
+++ b/src/main/java/gatefront/rehearsal/plan/Plan.java
@@ -24,8 +24,9 @@
 public record Plan(String name, double seconds, List<String> zones, boolean worthByWork, Net network, Agents agents,
                    Nodos nodos, Rules rules, Registry padron, Callers callers, List<Kind> classes,
                    List<Tenant> tenants, List<Fault> faults) {
-    /** One way in milliseconds, its relative jitter, and the speed of each link. */
-    public record Net(double clientMs, double sameMs, Range crossMs, double jitter, double megabits) { }
+    /** One way in milliseconds, its relative jitter, the speed of each link, and what is spoken on them. */
+    public record Net(double clientMs, double sameMs, Range crossMs, double jitter, double megabits,
+                      String protocol) { }
 
     /** How many agents there are and what each may hold. */
     public record Agents(int count, int sockets, int memoryMb, double skew) { }
@@ -63,6 +64,13 @@
             tenants, List.copyOf(others));
     }
 
+    /** The same day over another protocol. */
+    public Plan withProtocol(String protocol) {
+        return new Plan(name, seconds, zones, worthByWork, new Net(network.clientMs, network.sameMs, network.crossMs,
+            network.jitter, network.megabits, protocol), agents, nodos, rules, padron, callers, classes, tenants,
+            faults);
+    }
+
     /** The same day with another rate of requests. */
     public Plan withRate(double rate) {
         return new Plan(name, seconds, zones, worthByWork, network, agents, nodos, rules, padron,
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -21,6 +21,9 @@
 public final class PlanReader {
     /** The plans that come with the jar. */
     public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large");
+    /** What may be spoken between callers, agents and nodos. */
+    public static final List<String> PROTOCOLS = List.of("http", "framed-binary", "framed-compact", "unframed-binary",
+        "unframed-compact");
     private static final double MANY = 1e9;
 
     private final String file;
@@ -112,7 +115,7 @@
     private static Plan.Net network(Table t) throws TomlException {
         return new Plan.Net(t.number("client_ms", 0.3, 0, 1000), t.number("same_ms", 0.3, 0, 1000),
             t.range("cross_ms", new Range(2, 2), 0, 1000), t.number("jitter", 0.2, 0, 1),
-            t.number("megabits", 1000.0, 0.1, 1e6));
+            t.number("megabits", 1000.0, 0.1, 1e6), t.word("protocol", "http", PROTOCOLS));
     }
 
     private static Plan.Agents agents(Table t) throws TomlException {
--- a/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
@@ -30,6 +30,7 @@
         put("cross_ms", p.network().crossMs());
         put("jitter", p.network().jitter());
         put("megabits", p.network().megabits());
+        put("protocol", quoted(p.network().protocol()));
         out.append("\n[agents]\n");
         put("count", p.agents().count());
         put("sockets", p.agents().sockets());
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -42,7 +42,7 @@
         .whereLayer("engine").mayOnlyAccessLayers("membership", "policy", "transport")
             .whereLayer("agent").mayOnlyBeAccessedByLayers("cli", "rehearsal")
         .whereLayer("http").mayOnlyBeAccessedByLayers("agent")
-        .whereLayer("thrift").mayOnlyBeAccessedByLayers("agent")
+        .whereLayer("thrift").mayOnlyBeAccessedByLayers("agent", "rehearsal")
         .whereLayer("thrift codec").mayNotAccessAnyLayer()
         .whereLayer("padron").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("toml").mayNotAccessAnyLayer()
