--- a/src/main/java/gatefront/rehearsal/Day.java
+++ b/src/main/java/gatefront/rehearsal/Day.java
@@ -34,6 +34,8 @@
 
     final Plan plan;
     final long seed;
+    /** What the rig's own lateness may blur, in microseconds. */
+    final long slack;
     final Cast cast;
     /** What Thrift is spoken; null for HTTP. */
     final Form form;
@@ -61,6 +63,7 @@
         Function<Day, IntFunction<AgentStand>> agents) {
         this.plan = plan;
         this.seed = seed;
+        this.slack = slack;
         this.machines = (name, address, zone, memory, log) -> {
             Machine made = machines.make(name, address, zone, memory, log);
             allMachines.add(made);
--- a/src/main/java/gatefront/thrift/ThriftCall.java
+++ b/src/main/java/gatefront/thrift/ThriftCall.java
@@ -17,11 +17,12 @@
      * never more than there was, so in the compact protocol its varint fits, with groups of zeros behind.
      */
     byte[] body(long millisLeft) {
-        if (timeoutAt < 0 || millisLeft <= 0) {
+        boolean compact = message.encoding() == Encoding.COMPACT;
+        int bits = compact ? 7 * timeoutBytes - 1 : 8 * timeoutBytes - 1;
+        if (timeoutAt < 0 || millisLeft <= 0 || bits < 63 && millisLeft >> bits != 0) {
             return message.body();
         }
         byte[] body = message.body().clone();
-        boolean compact = message.encoding() == Encoding.COMPACT;
         for (int i = 0; i < timeoutBytes; i++) {
             boolean last = i == timeoutBytes - 1;
             body[timeoutAt + i] = compact ? (byte) (millisLeft << 1 >> 7 * i & 0x7f | (last ? 0 : 0x80))
--- a/src/main/java/gatefront/thrift/ThriftFront.java
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -269,7 +269,9 @@
         }
 
         private ByteBuf reply(Message call, Header.Type type, byte[] body) {
-            Header header = new Header(call.header().name(), type, call.header().seqid());
+            // As servers of several services reply: some generated clients compare the name with the method's alone.
+            String name = call.header().name();
+            Header header = new Header(name.substring(name.indexOf(':') + 1), type, call.header().seqid());
             ByteBuf out = Unpooled.buffer(body.length + REPLY_OVERHEAD);
             MessageEncoder.write(new Message(call.encoding(), header, body), decoder.form().framed(), out);
             return out;
--- a/src/test/java/gatefront/agent/Cuenta.java
+++ b/src/test/java/gatefront/agent/Cuenta.java
@@ -218,6 +218,11 @@
         }
     }
 
+    /** Makes a server at an address. */
+    interface Serve {
+        org.apache.thrift.server.TServer at(java.net.InetSocketAddress address) throws TException;
+    }
+
     /** What a nodo does with a call. */
     interface Work {
         /** Its result; a TApplicationException is sent as such, and a TException ends the connection. */
--- a/src/test/java/gatefront/agent/ThriftStage.java
+++ b/src/test/java/gatefront/agent/ThriftStage.java
@@ -84,6 +84,13 @@
         return processor;
     }
 
+    /** A nodo of the reference implementation of another kind. */
+    void server(Cuenta.Serve server) throws TException {
+        TServer made = server.at(list());
+        servers.add(made);
+        Peer.daemon(made::serve);
+    }
+
     /** A nodo that does with the first bytes of each connection what a test says. */
     void raw(Peer.Serving work) throws IOException {
         ServerSocket listener = new ServerSocket();
