Thrift front: what ends takes nothing more; an agent that ends is tested in every form

A caller that goes on asking kept its connection for ever at the end of an agent: now it is no longer read once the first answer of the end is given. The test of resends makes a stage for each failure: on a machine with its cores taken, nine failures of fourteen calls made the module refuse a repeat, rightly.

--- a/src/main/java/gatefront/thrift/ThriftFront.java
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -249,13 +249,16 @@
             release(call.body().length);
             ChannelFuture written = call.header().type() == Header.Type.ONEWAY ? null
                 : channel.writeAndFlush(reply(call, type, body));
+            if (closing() && !deaf) {
+                deaf = true; // Guards against a caller that goes on asking, whose connection would never end.
+                channel.config().setAutoRead(false);
+            }
             if (!inFlight.isEmpty()) {
                 proceed();
                 return;
             }
-            if (ahead.isEmpty() && (deaf || closing())) {
-                boolean unread = deaf || decoder.begun();
-                finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, unread);
+            if (ahead.isEmpty() && deaf) {
+                finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, true);
             } else {
                 move(decoder.begun() ? Stage.BEGUN : Stage.KEPT);
                 proceed();
--- a/src/test/java/gatefront/agent/ThriftAgentTest.java
+++ b/src/test/java/gatefront/agent/ThriftAgentTest.java
@@ -69,6 +69,14 @@
         return result;
     }
 
+    private static void hold(CountDownLatch until) throws TException {
+        try {
+            until.await(10, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            throw new TException(e);
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("forms")
     void callsOfEachClassAreServedWithTheirArgumentsAndWhatIsLeftOfTheirTime(Form form) throws Exception {
@@ -113,33 +121,36 @@
     @ParameterizedTest
     @MethodSource("forms")
     void whatMayHaveRunIsSentAgainOnlyAsItsClassPermits(Form form) throws Exception {
-        try (ThriftStage stage = new ThriftStage(form)) {
-            AtomicInteger failures = new AtomicInteger();
-            Cuenta.Work work = (method, args) -> {
-                if (failures.getAndDecrement() <= 0) {
-                    return served("done");
-                }
-                switch (args.text) {
-                    case "failed":
-                        return failed();
-                    case "internal":
-                        throw new TApplicationException(TApplicationException.INTERNAL_ERROR, "oh");
-                    default:
-                        throw new TTransportException("the connection ends");
+        for (String how : List.of("failed", "internal", "cut")) {
+            try (ThriftStage stage = new ThriftStage(form)) {
+                AtomicInteger failures = new AtomicInteger();
+                Cuenta.Work work = (method, args) -> {
+                    if (failures.getAndDecrement() <= 0) {
+                        return served("done");
+                    }
+                    switch (how) {
+                        case "failed":
+                            return failed();
+                        case "internal":
+                            throw new TApplicationException(TApplicationException.INTERNAL_ERROR, "oh");
+                        default:
+                            throw new TTransportException("the connection ends");
+                    }
+                };
+                Processor one = stage.server(work);
+                Processor other = stage.server(work);
+                Client client = stage.start().client();
+                for (int i = 0; i < 40; i++) { // the module repeats a part of what it is asked, not all of it
+                    assertEquals("done", client.call("lookup", args("lookup", 5_000, "")).success);
                 }
-            };
-            Processor one = stage.server(work);
-            Processor other = stage.server(work);
-            stage.start();
-            for (String how : List.of("failed", "internal", "cut")) {
                 failures.set(1);
                 int before = one.calls.get() + other.calls.get();
-                Result order = stage.client().call("order", args("order", 5_000, how));
-                assertNotNull(order.failed, how + ": at most once, so it is failed");
+                assertNotNull(client.call("order", args("order", 5_000, "")).failed, how + ": at most once");
                 assertEquals(before + 1, one.calls.get() + other.calls.get(), how);
                 for (String again : List.of("lookup", "pay")) {
                     failures.set(1);
-                    assertEquals("done", stage.client().call(again, args(again, 5_000, how)).success, again + how);
+                    Result result = client.call(again, args(again, 5_000, ""));
+                    assertEquals("done", result.success, again + " " + how + " " + result.refused + result.failed);
                 }
             }
         }
@@ -173,11 +184,7 @@
             CountDownLatch late = new CountDownLatch(1);
             stage.server((method, args) -> {
                 if (args.text.equals("late")) {
-                    try {
-                        late.await(10, TimeUnit.SECONDS);
-                    } catch (InterruptedException e) {
-                        throw new TException(e);
-                    }
+                    hold(late);
                 }
                 return served(args.text);
             });
@@ -244,11 +251,7 @@
             CountDownLatch slow = new CountDownLatch(1);
             stage.server((method, args) -> {
                 if (args.text.startsWith("slow")) {
-                    try {
-                        slow.await(10, TimeUnit.SECONDS);
-                    } catch (InterruptedException e) {
-                        throw new TException(e);
-                    }
+                    hold(slow);
                 }
                 return served(args.text);
             });
@@ -360,6 +363,45 @@
         }
     }
 
+    /** An agent that ends answers what it holds, takes nothing more, and is gone, though its caller goes on asking. */
+    @ParameterizedTest
+    @MethodSource("forms")
+    void anAgentThatEndsAnswersWhatItHoldsAndCloses(Form form) throws Exception {
+        try (ThriftStage stage = new ThriftStage(form)) {
+            CountDownLatch go = new CountDownLatch(1);
+            Processor nodo = stage.server((method, args) -> {
+                if (args.text.equals("held")) {
+                    hold(go);
+                }
+                return served(args.text);
+            });
+            stage.start();
+            Client held = stage.client();
+            held.send("order", args("order", 8_000, "held"));
+            Client idle = stage.client();
+            assertEquals("idle", idle.call("lookup", args("lookup", 5_000, "idle")).success);
+            Stage.await(() -> nodo.calls.get() == 2);
+            Thread ending = Peer.daemon(stage.agent::stop);
+            Client asking = stage.client();
+            assertEquals("asked", asking.call("lookup", args("lookup", 5_000, "asked")).success,
+                "it serves on while it may");
+            go.countDown();
+            assertEquals("held", held.receive("order").success);
+            Stage.await(() -> ended(idle));
+            ending.join(Stage.GENEROUS_MS);
+            assertTrue(!ending.isAlive(), "it has ended");
+        }
+    }
+
+    private static boolean ended(Client client) {
+        try {
+            client.call("lookup", args("lookup", 2_000, "again"));
+            return false;
+        } catch (TException e) {
+            return true;
+        }
+    }
+
     /** The same request at once over both protocols would be two effects; the second is failed and the first served. */
     @Test
     void theSameRequestOverHttpAndThriftAtOnceIsTakenOnce() throws Exception {
@@ -367,11 +409,7 @@
         try (ThriftStage stage = new ThriftStage(form)) {
             CountDownLatch go = new CountDownLatch(1);
             Processor nodo = stage.server((method, args) -> {
-                try {
-                    go.await(10, TimeUnit.SECONDS);
-                } catch (InterruptedException e) {
-                    throw new TException(e);
-                }
+                hold(go);
                 return served("first");
             });
             stage.start();
