--- a/src/main/java/gatefront/thrift/ThriftFront.java
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -137,6 +137,8 @@
         /** Owed an answer, by seqid, in the order in which they came. */
         private final Map<Integer, Exchange> inFlight = new LinkedHashMap<>();
         private final Deque<Message> ahead = new ArrayDeque<>();
+        /** What came was wrong, and more of it may be on the way. */
+        private boolean unread;
 
         Caller(DuplexChannel channel, MessageDecoder decoder) {
             super(channel);
@@ -181,6 +183,7 @@
         /** Nothing more is read; what has come before is answered, and then the connection ends. */
         private void stop() {
             deaf = true;
+            unread = true;
             channel.config().setAutoRead(false);
             if (inFlight.isEmpty() && ahead.isEmpty()) {
                 finish(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), true);
@@ -258,7 +261,7 @@
                 return;
             }
             if (ahead.isEmpty() && deaf) {
-                finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, true);
+                finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, unread);
             } else {
                 move(decoder.begun() ? Stage.BEGUN : Stage.KEPT);
                 proceed();
