Upstreams share how answers are read; AcceptingFront; no map of awaited replies

Read once more: HttpUpstream and ThriftUpstream had the same three handlers (an answer to nothing, one before the request has left, the end of a connection), and ThriftUpstream kept a map beside its connections for a number that belongs to the attempt. Now PooledUpstream.Reader and Attempt.number. A front is no pool: PooledFront is AcceptingFront, and what a connection is at is its State. Agent held an index twice for which upstream is Thrift's; NodoStand a map where a set does.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -71,10 +71,9 @@
         loop = transport.loop();
         int each = (config.sockets() - SOCKETS_RESERVED) / (thrift == null ? 2 : 4);
         backends = new HttpUpstream(transport, config, each);
-        List<Upstream> upstreams = new ArrayList<>(List.of(backends));
-        if (thrift != null) {
-            upstreams.add(thrift.probes() ? 0 : 1, new ThriftUpstream(transport, config, thrift, each));
-        }
+        ThriftUpstream overThrift = thrift == null ? null : new ThriftUpstream(transport, config, thrift, each);
+        List<Upstream> upstreams = overThrift == null ? List.of(backends)
+            : thrift.probes() ? List.of(overThrift, backends) : List.of(backends, overThrift);
         discovery = new Discovery(transport, config, new Discovery.Listener() {
             @Override
             public void list(Balancer.ListKind kind, List<Endpoint> endpoints) {
@@ -105,8 +104,7 @@
         clients = new HttpFront(transport, config, each, this::ready, engine.through(backends));
         fronts.add(clients);
         if (thrift != null) {
-            fronts.add(new ThriftFront(transport, config, thrift, each, this::ready,
-                engine.through(upstreams.get(thrift.probes() ? 0 : 1))));
+            fronts.add(new ThriftFront(transport, config, thrift, each, this::ready, engine.through(overThrift)));
         }
     }
 
@@ -196,7 +194,7 @@
         });
     }
 
-    /** The same, from any thread. */
+    /** {@link #ready()} from any thread. */
     boolean isReady() {
         try {
             return loop.submit(() -> ready()).sync().getNow();
--- a/src/main/java/gatefront/connection/PooledFront.java
+++ b/src/main/java/gatefront/connection/AcceptingFront.java
@@ -24,9 +24,9 @@
  * The callers' connections: how many there may be, how long each may say nothing, how each ends. What a protocol adds
  * is what the bytes mean. All of it runs on the agent's event loop.
  */
-public abstract class PooledFront implements Front {
+public abstract class AcceptingFront implements Front {
     /** What a connection is at. */
-    protected enum Stage {
+    protected enum State {
         /** New, and nothing said yet. */ SILENT,
         /** Half a request sent. */ BEGUN,
         /** Kept after an answer. */ KEPT,
@@ -58,7 +58,7 @@
     private Channel server;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Of these, by what they are at, the longest at it first. */
-    private final Map<Stage, Set<Connection>> at = new EnumMap<>(Stage.class);
+    private final Map<State, Set<Connection>> at = new EnumMap<>(State.class);
     private long bodies;
     private boolean leaving;
     private boolean draining;
@@ -70,11 +70,11 @@
      * @param listen where it listens
      * @param connectionsMost connections held at the most
      */
-    protected PooledFront(Transport transport, InetSocketAddress listen, int connectionsMost) {
+    protected AcceptingFront(Transport transport, InetSocketAddress listen, int connectionsMost) {
         this.transport = transport;
         this.listen = listen;
         this.connectionsMost = connectionsMost;
-        for (Stage each : Stage.values()) {
+        for (State each : State.values()) {
             at.put(each, new LinkedHashSet<>());
         }
         bootstrap = new ServerBootstrap().group(transport.loop()).channelFactory(transport.listeners())
@@ -117,15 +117,15 @@
     @Override
     public void drain() {
         draining = true;
-        List.copyOf(at.get(Stage.SILENT)).forEach(Connection::close);
-        List.copyOf(at.get(Stage.KEPT)).forEach(Connection::close);
+        List.copyOf(at.get(State.SILENT)).forEach(Connection::close);
+        List.copyOf(at.get(State.KEPT)).forEach(Connection::close);
     }
 
     @Override
     public void stopListening() {
         server.close();
         drain();
-        List.copyOf(at.get(Stage.BEGUN)).forEach(Connection::close);
+        List.copyOf(at.get(State.BEGUN)).forEach(Connection::close);
     }
 
     @Override
@@ -151,9 +151,9 @@
      */
     private void makeRoom() {
         long now = transport.nanos();
-        while (connections.size() - at.get(Stage.ENDING).size() - at.get(Stage.FINISHING).size() >= connectionsMost) {
-            Connection first = older(Stage.SILENT, now - SILENT_LEAST_NANOS);
-            first = first == null ? older(Stage.KEPT, now - KEPT_LEAST_NANOS) : first;
+        while (connections.size() - at.get(State.ENDING).size() - at.get(State.FINISHING).size() >= connectionsMost) {
+            Connection first = older(State.SILENT, now - SILENT_LEAST_NANOS);
+            first = first == null ? older(State.KEPT, now - KEPT_LEAST_NANOS) : first;
             if (first == null) {
                 break;
             }
@@ -163,24 +163,24 @@
     }
 
     /** The first of them if it has been there since then. */
-    private Connection older(Stage stage, long since) {
-        Set<Connection> some = at.get(stage);
+    private Connection older(State state, long since) {
+        Set<Connection> some = at.get(state);
         Connection first = some.isEmpty() ? null : some.iterator().next();
         return first != null && first.since - since <= 0 ? first : null;
     }
 
     /** Ends what takes too long. Guards against descriptors and memory held for nobody. */
     private void sweep() {
-        expired(Stage.SILENT, PATIENCE_NANOS).forEach(Connection::close);
-        expired(Stage.KEPT, pressed() ? KEPT_LEAST_NANOS : KEPT_NANOS).forEach(Connection::close);
-        for (Connection each : expired(Stage.BEGUN, PATIENCE_NANOS)) {
+        expired(State.SILENT, PATIENCE_NANOS).forEach(Connection::close);
+        expired(State.KEPT, pressed() ? KEPT_LEAST_NANOS : KEPT_NANOS).forEach(Connection::close);
+        for (Connection each : expired(State.BEGUN, PATIENCE_NANOS)) {
             each.tooSlow();
-            if (each.stage == Stage.BEGUN) {
+            if (each.state == State.BEGUN) {
                 each.channel.close(); // it does not read either
             }
         }
-        expired(Stage.FINISHING, FINISH_NANOS).forEach(each -> each.channel.close());
-        expired(Stage.ENDING, LINGER_NANOS).forEach(each -> each.channel.close());
+        expired(State.FINISHING, FINISH_NANOS).forEach(each -> each.channel.close());
+        expired(State.ENDING, LINGER_NANOS).forEach(each -> each.channel.close());
         makeRoom();
     }
 
@@ -189,9 +189,9 @@
         return connections.size() >= PRESSED * connectionsMost;
     }
 
-    private List<Connection> expired(Stage stage, long nanos) {
+    private List<Connection> expired(State state, long nanos) {
         long since = transport.nanos() - nanos;
-        return at.get(stage).stream().takeWhile(each -> each.since - since <= 0).toList();
+        return at.get(state).stream().takeWhile(each -> each.since - since <= 0).toList();
     }
 
     /** One connection of a caller's; it is the last handler of its pipeline. */
@@ -200,7 +200,7 @@
         protected final DuplexChannel channel;
         /** Nothing more is taken from it: what came was wrong, or it ends. */
         protected boolean deaf;
-        private Stage stage;
+        private State state;
         private long since;
         /** What its requests' bodies take. */
         private int held;
@@ -217,19 +217,19 @@
         protected abstract void ended();
 
         /** What it is at. */
-        protected final Stage stage() {
-            return stage;
+        protected final State state() {
+            return state;
         }
 
         /** It is at something else from now on; null is the end. */
-        protected final void move(Stage to) {
-            if (stage != null) {
-                at.get(stage).remove(this);
+        protected final void move(State to) {
+            if (state != null) {
+                at.get(state).remove(this);
             }
-            stage = to;
+            state = to;
             since = transport.nanos();
-            if (stage != null) {
-                at.get(stage).add(this);
+            if (state != null) {
+                at.get(state).add(this);
             }
         }
 
@@ -253,7 +253,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            move(Stage.SILENT);
+            move(State.SILENT);
             makeRoom();
         }
 
@@ -280,16 +280,16 @@
          */
         protected final void finish(ChannelFuture written, boolean unread) {
             deaf = true;
-            move(Stage.FINISHING);
+            move(State.FINISHING);
             // Guards against a reset for what was not read, which would overtake the answer.
             written.addListener(unread ? done -> linger() : ChannelFutureListener.CLOSE);
         }
 
         private void linger() {
-            if (at.get(Stage.ENDING).size() >= LINGER_MOST) {
+            if (at.get(State.ENDING).size() >= LINGER_MOST) {
                 channel.close();
             } else if (channel.isActive()) {
-                move(Stage.ENDING);
+                move(State.ENDING);
                 channel.shutdownOutput();
             }
         }
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -8,10 +8,12 @@
 import gatefront.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -50,6 +52,7 @@
     /** By server, from its first line as ready until it drains or goes. */
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
+    private int attempts;
 
     /** What is kept for one server at one address. */
     private static final class Pool {
@@ -95,17 +98,17 @@
 
     // ---- What a protocol adds ----
 
-    /** Sets up a new connection: what reads ends the {@link Connection#attempt()} there is. */
+    /** Sets up a new connection: its codec, and a {@link Reader} behind it. */
     protected abstract void init(Connection connection, ChannelPipeline pipeline);
 
     /**
      * What is written for a request.
      *
      * @param request as it was handed in
-     * @param connection that it goes out on
+     * @param number of the attempt
      * @param millisLeft of its time, at least 1; 0 if it has no limit
      */
-    protected abstract Object message(Payload request, Connection connection, long millisLeft);
+    protected abstract Object message(Payload request, int number, long millisLeft);
 
     /** The request that asks for a server's health. */
     protected abstract Payload probe();
@@ -224,6 +227,7 @@
     /** One request on its way to a server, or a probe. */
     protected final class Attempt implements Upstream.Attempt {
         private final Payload request;
+        private final int number = ++attempts;
         private final Consumer<Result> then;
         private final long endAt;
         private final boolean limited;
@@ -248,9 +252,9 @@
             return request;
         }
 
-        /** Whether its last byte has left. */
-        public boolean written() {
-            return written;
+        /** Its number among those of the upstream, in the order in which they were made; it wraps around. */
+        public int number() {
+            return number;
         }
 
         private void start(long server) {
@@ -292,7 +296,7 @@
             connection = to;
             to.attempt = this;
             long millisLeft = limited ? Math.max(1, (endAt - transport.nanos()) / 1_000_000) : 0;
-            to.channel.writeAndFlush(message(request, to, millisLeft)).addListener(done -> {
+            to.channel.writeAndFlush(message(request, number, millisLeft)).addListener(done -> {
                 if (done.isSuccess()) {
                     written = true;
                     left(this);
@@ -303,7 +307,7 @@
         }
 
         /** The connection has ended under the attempt. Before its last byte was written it did not run. */
-        public void broken() {
+        private void broken() {
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
 
@@ -359,11 +363,6 @@
             this.pool = pool;
         }
 
-        /** The attempt that uses it, or null. */
-        public Attempt attempt() {
-            return attempt;
-        }
-
         private boolean old() {
             return transport.nanos() - idleSince >= idleNanos;
         }
@@ -374,12 +373,45 @@
             init(this, ch.pipeline());
         }
 
-        /** It is no more: what reads it calls this, once it has said all that it had read. */
-        public void ended() {
-            pool.idle.remove(this);
-            if (attempt != null) {
-                attempt.broken();
+    }
+
+    /** Turns what arrives on a connection into the outcome of its attempt. */
+    protected abstract static class Reader extends SimpleChannelInboundHandler<Object> {
+        private final Connection connection;
+
+        /** Of this connection. */
+        protected Reader(Connection connection) {
+            this.connection = connection;
+        }
+
+        /**
+         * Something has been read.
+         *
+         * @return false if it is spoilt: nothing of it is served, and the attempt may have run
+         */
+        protected abstract boolean read(Attempt attempt, Object part);
+
+        @Override
+        protected final void channelRead0(ChannelHandlerContext ctx, Object part) {
+            Attempt attempt = connection.attempt;
+            if (attempt == null) {
+                ctx.close(); // an answer to nothing
+            } else if (!attempt.written || !read(attempt, part)) {
+                attempt.broken(); // an answer before the request has left whole cannot be an answer to it
             }
         }
+
+        @Override
+        public final void channelInactive(ChannelHandlerContext ctx) {
+            connection.pool.idle.remove(connection);
+            if (connection.attempt != null) {
+                connection.attempt.broken();
+            }
+        }
+
+        @Override
+        public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close(); // reset; what that means for the attempt is told by channelInactive
+        }
     }
 }
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -1,7 +1,7 @@
 package gatefront.http;
 
 import gatefront.config.Config;
-import gatefront.connection.PooledFront;
+import gatefront.connection.AcceptingFront;
 import gatefront.engine.Call;
 import gatefront.engine.Engine;
 import gatefront.engine.Payload;
@@ -41,7 +41,7 @@
  * advance on a connection waits for the answer before it. What is no request as the protocol has it is
  * answered with an error in its turn, and its connection ends. All of it runs on the agent's event loop.
  */
-public final class HttpFront extends PooledFront {
+public final class HttpFront extends AcceptingFront {
     /** What a connection has asked: a request, the agent's health (neither), or what earned it an error. */
     private record Asked(Call request, HttpResponseStatus error, boolean keepAlive) { }
 
@@ -208,8 +208,8 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if ((stage() == Stage.SILENT || stage() == Stage.KEPT) && decoder.begun()) {
-                move(Stage.BEGUN);
+            if ((state() == State.SILENT || state() == State.KEPT) && decoder.begun()) {
+                move(State.BEGUN);
             }
         }
 
@@ -278,7 +278,7 @@
         }
 
         private void take(Asked asked) {
-            move(Stage.OWED);
+            move(State.OWED);
             Call request = asked.request;
             Exchange exchange = new Exchange(this, asked.keepAlive,
                 request == null ? 0 : body(request).length);
@@ -309,7 +309,7 @@
                 ahead.clear();
                 finish(written, unread);
             } else {
-                move(decoder.begun() ? Stage.BEGUN : Stage.KEPT);
+                move(decoder.begun() ? State.BEGUN : State.KEPT);
                 if (!ahead.isEmpty()) {
                     channel.eventLoop().execute(this::next);
                 }
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -10,9 +10,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -70,7 +68,7 @@
     }
 
     @Override
-    protected Object message(Payload payload, Connection connection, long millisLeft) {
+    protected Object message(Payload payload, int number, long millisLeft) {
         Outgoing request = (Outgoing) payload;
         var message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri,
             Unpooled.wrappedBuffer(request.body));
@@ -95,38 +93,32 @@
         return text == null && asked ? new String(body, StandardCharsets.US_ASCII) : text;
     }
 
-    /** Turns what arrives on a connection into the outcome of its attempt. */
-    private final class Answers extends SimpleChannelInboundHandler<HttpObject> {
-        private final Connection connection;
+    private final class Answers extends Reader {
         private final Decoders.Responses decoder;
         /** The answer that is coming in, or null; one with a status of 1xx goes ahead of the one awaited. */
         private HttpResponse head;
         private final ByteBuf body = Unpooled.buffer(0, BODY_MAX);
 
         Answers(Connection connection, Decoders.Responses decoder) {
-            this.connection = connection;
+            super(connection);
             this.decoder = decoder;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            Attempt attempt = connection.attempt();
-            if (attempt == null) {
-                ctx.close(); // an answer to nothing
-                return;
-            }
-            // An answer before the request has left whole cannot be an answer to it.
-            if (part.decoderResult().isFailure() || !attempt.written()
-                    || part instanceof HttpResponse first && !begin(first)
+        protected boolean read(Attempt attempt, Object read) {
+            HttpObject part = (HttpObject) read;
+            if (part.decoderResult().isFailure() || part instanceof HttpResponse first && !begin(first)
                     || part instanceof HttpContent content && !add(content)) {
-                attempt.broken(); // spoilt: nothing of it is served, and it may have run
-            } else if (part instanceof LastHttpContent) {
+                return false;
+            }
+            if (part instanceof LastHttpContent) {
                 HttpResponse whole = head;
                 head = null;
                 if (whole.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                     finish(attempt, whole);
                 }
             }
+            return true;
         }
 
         /** Takes the head of an answer; false if it cannot end well. */
@@ -166,15 +158,5 @@
             attempt.end(new Result(outcome, load.read(report(attempt, headers, bytes)), served, bad),
                 ends && HttpUtil.isKeepAlive(whole) && !decoder.leftover());
         }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            connection.ended();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // reset; what that means for the attempt is told by channelInactive
-        }
     }
 }
--- a/src/main/java/gatefront/rehearsal/NodoStand.java
+++ b/src/main/java/gatefront/rehearsal/NodoStand.java
@@ -36,8 +36,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** A nodo de cuentas over HTTP/1.1 or Thrift: the model decides how requests fare, this carries it out. */
@@ -69,6 +71,8 @@
     private boolean left;
     private String report = "";
     private long reportedAt = Long.MIN_VALUE / 2;
+    /** Connections on which half a request has come; each leaves with the rest of it or its end. */
+    private final Set<Serving> half = new LinkedHashSet<>();
     /** Connections in no use, the longest so first, and since when; each leaves with its next request or its end. */
     private final Map<Serving, Long> resting = new LinkedHashMap<>();
     private Future<?> idleWatch;
@@ -172,7 +176,7 @@
         long now = day.now();
         jobs.values().forEach(each -> day.checker.ended(now, each.id, each.attempt, Ending.LOST));
         jobs.clear();
-        half.values().forEach(each -> day.checker.ended(now, each.id, each.attempt, Ending.LOST));
+        half.forEach(each -> day.checker.ended(now, each.id, each.attempt, Ending.LOST));
         half.clear();
         resting.clear();
         idleWatch = null;
@@ -305,9 +309,6 @@
         return report;
     }
 
-    /** Requests of which not all has come. */
-    private final Map<Serving, Serving> half = new LinkedHashMap<>();
-
     /** One connection, whatever protocol it speaks. */
     private abstract class Serving extends SimpleChannelInboundHandler<Object> {
         /** The process that it belongs to. */
@@ -379,7 +380,7 @@
             attempt = day.checker.begun(sentAt(ctx.channel()), id, number, spec.zone(), spec.cell(),
                 want == null ? -1 : want.agent());
             day.record.attempt(day.now());
-            half.put(this, this);
+            half.add(this);
         }
 
         /** A question for health has come; its answer is written next. */
--- a/src/main/java/gatefront/thrift/ThriftFront.java
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -1,7 +1,7 @@
 package gatefront.thrift;
 
 import gatefront.config.Config;
-import gatefront.connection.PooledFront;
+import gatefront.connection.AcceptingFront;
 import gatefront.engine.Call;
 import gatefront.engine.Payload;
 import gatefront.policy.Balancer;
@@ -29,7 +29,7 @@
  * that have the same seqid as one that waits for its answer are taken after it: a client that numbers nothing tells
  * answers apart by their order. What is no message ends its connection, once what came before it is answered.
  */
-public final class ThriftFront extends PooledFront {
+public final class ThriftFront extends AcceptingFront {
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Calls of one connection in work at the most, and read ahead beyond these before it is left alone. */
     private static final int IN_FLIGHT_MOST = 32;
@@ -165,8 +165,8 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if ((stage() == Stage.SILENT || stage() == Stage.KEPT) && decoder.begun()) {
-                move(Stage.BEGUN);
+            if ((state() == State.SILENT || state() == State.KEPT) && decoder.begun()) {
+                move(State.BEGUN);
             }
         }
 
@@ -210,7 +210,7 @@
         }
 
         private void take(Message message) {
-            move(Stage.OWED);
+            move(State.OWED);
             Header header = message.header();
             ThriftSettings.Method method = settings.method(header.name());
             Exchange exchange = new Exchange(this, message, method != null && method.declares());
@@ -263,7 +263,7 @@
             if (ahead.isEmpty() && deaf) {
                 finish(written == null ? channel.writeAndFlush(Unpooled.EMPTY_BUFFER) : written, unread);
             } else {
-                move(decoder.begun() ? Stage.BEGUN : Stage.KEPT);
+                move(decoder.begun() ? State.BEGUN : State.KEPT);
                 proceed();
             }
         }
--- a/src/main/java/gatefront/thrift/ThriftUpstream.java
+++ b/src/main/java/gatefront/thrift/ThriftUpstream.java
@@ -9,7 +9,6 @@
 import gatefront.thrift.codec.Encoding;
 import gatefront.thrift.codec.Header;
 import gatefront.thrift.codec.Limits;
-import gatefront.thrift.codec.MalformedException;
 import gatefront.thrift.codec.Message;
 import gatefront.thrift.codec.MessageDecoder;
 import gatefront.thrift.codec.MessageEncoder;
@@ -18,12 +17,8 @@
 import gatefront.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
  * The servers over Thrift: a call a connection at a time, and what its reply says of it.
@@ -37,9 +32,6 @@
     private final ThriftSettings settings;
     private final LoadReport load;
     private final Payload probe;
-    /** The reply that each connection waits for; an entry goes with its connection. */
-    private final Map<Connection, Header> awaited = new HashMap<>();
-    private int seqid;
 
     /** Holds so many connections at the most. */
     public ThriftUpstream(Transport transport, Config config, ThriftSettings settings, int connectionsMost) {
@@ -67,10 +59,9 @@
     }
 
     @Override
-    protected Object message(Payload payload, Connection connection, long millisLeft) {
+    protected Object message(Payload payload, int number, long millisLeft) {
         ThriftCall call = (ThriftCall) payload;
-        Header header = new Header(call.message().header().name(), call.message().header().type(), ++seqid);
-        awaited.put(connection, header);
+        Header header = new Header(call.message().header().name(), call.message().header().type(), number);
         byte[] body = call.body(millisLeft);
         ByteBuf out = Unpooled.buffer(body.length + 64);
         MessageEncoder.write(new Message(call.message().encoding(), header, body), settings.framedServers(), out);
@@ -85,49 +76,32 @@
         }
     }
 
-    /** Turns what arrives on a connection into the outcome of its attempt. */
-    private final class Replies extends SimpleChannelInboundHandler<Object> {
-        private final Connection connection;
+    private final class Replies extends Reader {
         private final MessageDecoder decoder;
 
         Replies(Connection connection, MessageDecoder decoder) {
-            this.connection = connection;
+            super(connection);
             this.decoder = decoder;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, Object read) {
-            Attempt attempt = connection.attempt();
-            if (attempt == null) {
-                ctx.close(); // a reply to nothing
-            } else if (read instanceof MalformedException || !attempt.written()
-                    || !answers((Message) read, ((ThriftCall) attempt.request()).message())) {
-                attempt.broken(); // spoilt: nothing of it is served, and it may have run
-            } else {
-                attempt.end(result((Message) read, attempt), !decoder.leftover());
+        protected boolean read(Attempt attempt, Object read) {
+            if (!(read instanceof Message reply) || !answers(reply, attempt)) {
+                return false;
             }
+            attempt.end(result(reply, attempt), !decoder.leftover());
+            return true;
         }
+    }
 
-        /** Guards against the reply to another call, where a server mixes them up. */
-        private boolean answers(Message reply, Message call) {
-            Header header = awaited.get(connection);
-            Header.Type type = reply.header().type();
-            return reply.header().seqid() == header.seqid() && reply.encoding().sameBody(call.encoding())
-                && (type == Header.Type.REPLY && reply.header().name().equals(unqualified(header.name()))
-                    || type == Header.Type.REPLY && reply.header().name().equals(header.name())
-                    || type == Header.Type.EXCEPTION);
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            awaited.remove(connection);
-            connection.ended();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // reset; what that means for the attempt is told by channelInactive
-        }
+    /** Guards against the reply to another call, where a server mixes them up. */
+    private static boolean answers(Message reply, Attempt attempt) {
+        Message call = ((ThriftCall) attempt.request()).message();
+        Header.Type type = reply.header().type();
+        String name = reply.header().name();
+        boolean named = name.equals(call.header().name()) || name.equals(unqualified(call.header().name()));
+        return reply.header().seqid() == attempt.number() && reply.encoding().sameBody(call.encoding())
+            && (type == Header.Type.EXCEPTION || type == Header.Type.REPLY && named);
     }
 
     /** A server that serves several services replies with the method's name alone. */
