--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The kit can fail: an agent whose decision module is faulty on purpose is caught, with the right request. */
 class FaultyAgentTest {
@@ -257,6 +258,7 @@
 
     /** Guards against a livelock that hangs the rehearsal: it is found and named. */
     @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void timeThatStandsStillIsReportedWithItsLoop() throws Exception {
         var outcome = play("calm", 5, agent -> new Faulty(agent) {
             @Override
--- a/src/test/java/gatefront/rehearsal/net/NetworkTest.java
+++ b/src/test/java/gatefront/rehearsal/net/NetworkTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.bootstrap.Bootstrap;
@@ -21,6 +22,7 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -267,17 +269,51 @@
         assertFalse(here.silent(client));
     }
 
+    /**
+     * The documented order of one instant: loops as they were made, within a loop by deadline and then by scheduling,
+     * and what one gives another for now in the next round.
+     */
     @Test
-    void tasksThatMakeTasksForNowAreFoundAndTimersOfTheDeadAreDropped() {
+    void eventsOfOneInstantRunInTheDocumentedOrder() {
+        there.loop().schedule(() -> heard.add("there a"), 5, TimeUnit.MILLISECONDS);
+        here.loop().schedule(() -> {
+            heard.add("here a");
+            here.loop().execute(() -> heard.add("here, made now"));
+            there.loop().execute(() -> heard.add("there, given now"));
+        }, 5, TimeUnit.MILLISECONDS);
+        here.loop().schedule(() -> heard.add("here b"), 5, TimeUnit.MILLISECONDS);
+        there.loop().schedule(() -> {
+            heard.add("there b");
+            here.loop().execute(() -> heard.add("here, given now"));
+        }, 5, TimeUnit.MILLISECONDS);
+        here.loop().schedule(() -> heard.add("here earlier"), 4, TimeUnit.MILLISECONDS);
+        run(10);
+        assertEquals(List.of("here earlier", "here a", "here b", "here, made now", "there, given now", "there a",
+            "there b", "here, given now"), heard);
+    }
+
+    @Test
+    void timersOfTheDeadAreDropped() {
         boolean[] rang = {false};
         there.loop().schedule(() -> rang[0] = true, 5, TimeUnit.MILLISECONDS);
         there.kill();
         run(10);
         assertFalse(rang[0]);
-        Runnable[] again = new Runnable[1];
-        again[0] = () -> here.loop().schedule(again[0], 0, TimeUnit.NANOSECONDS);
-        again[0].run();
-        String said = assertThrows(VirtualTime.LivelockException.class, () -> run(20)).getMessage();
-        assertTrue(said.contains("here") && said.contains("0.010000 s"), said);
+    }
+
+    /** Guards against a rehearsal that hangs: time that stands still is found, with the loop that holds it. */
+    @Test
+    void tasksThatMakeTasksForNowAreFound() {
+        assertTimeoutPreemptively(Duration.ofSeconds(60), () -> {
+            VirtualTime own = new VirtualTime(); // loops belong to the thread that made their clock
+            Host host = new Network(own, 0, (from, to, bytes) -> MS).host("here", InetAddress.getLoopbackAddress(), 0,
+                1 << 20, line -> { });
+            own.run(10 * MS);
+            Runnable[] again = new Runnable[1];
+            again[0] = () -> host.loop().schedule(again[0], 0, TimeUnit.NANOSECONDS);
+            again[0].run();
+            String said = assertThrows(VirtualTime.LivelockException.class, () -> own.run(20 * MS)).getMessage();
+            assertTrue(said.contains("here") && said.contains("0.010000 s"), said);
+        });
     }
 }
