--- a/src/test/java/gatefront/rehearsal/FaultyFrontTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyFrontTest.java
@@ -4,20 +4,16 @@
 
 import gatefront.rehearsal.check.RuleChecker.Breach;
 import gatefront.rehearsal.check.RuleChecker.Rule;
+import gatefront.rehearsal.net.Tampered;
 import gatefront.rehearsal.plan.PlanReader;
-import gatefront.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.EventLoop;
-import io.netty.channel.ServerChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -29,64 +25,6 @@
 class FaultyFrontTest {
     private static final int PADRON_PORTS = 8500;
 
-    /** Puts a handler next to the wire of each connection of one side. */
-    private record Tampered(Transport right, Supplier<ChannelHandler> accepted, Supplier<ChannelHandler> dialled)
-            implements Transport {
-        @Override
-        public EventLoop loop() {
-            return right.loop();
-        }
-
-        @Override
-        public long wallMicros() {
-            return right.wallMicros();
-        }
-
-        @Override
-        public ChannelFactory<? extends ServerChannel> listeners() {
-            return () -> {
-                ServerChannel server = right.listeners().newChannel();
-                server.pipeline().addFirst(new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object child) {
-                        ((Channel) child).pipeline().addFirst(accepted.get());
-                        ctx.fireChannelRead(child);
-                    }
-                });
-                return server;
-            };
-        }
-
-        @Override
-        public ChannelFactory<? extends Channel> dialers() {
-            return () -> {
-                Channel channel = right.dialers().newChannel();
-                channel.pipeline().addFirst(dialled.get());
-                return channel;
-            };
-        }
-
-        @Override
-        public boolean silent(Channel channel) {
-            return right.silent(channel);
-        }
-
-        @Override
-        public long memory() {
-            return right.memory();
-        }
-
-        @Override
-        public void log(String line) {
-            right.log(line);
-        }
-
-        @Override
-        public void close(Runnable then) {
-            right.close(then);
-        }
-    }
-
     private static ChannelHandler nothing() {
         return new ChannelInboundHandlerAdapter();
     }
--- /dev/null
+++ b/src/test/java/gatefront/rehearsal/net/Tampered.java
@@ -0,0 +1,69 @@
+package gatefront.rehearsal.net;
+
+import gatefront.transport.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import java.util.function.Supplier;
+
+/** Puts a handler next to the wire of each connection of one side. */
+public record Tampered(Transport right, Supplier<ChannelHandler> accepted, Supplier<ChannelHandler> dialled)
+        implements Transport {
+    @Override
+    public EventLoop loop() {
+        return right.loop();
+    }
+
+    @Override
+    public long wallMicros() {
+        return right.wallMicros();
+    }
+
+    @Override
+    public ChannelFactory<? extends ServerChannel> listeners() {
+        return () -> {
+            ServerChannel server = right.listeners().newChannel();
+            server.pipeline().addFirst(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object child) {
+                    ((Channel) child).pipeline().addFirst(accepted.get());
+                    ctx.fireChannelRead(child);
+                }
+            });
+            return server;
+        };
+    }
+
+    @Override
+    public ChannelFactory<? extends Channel> dialers() {
+        return () -> {
+            Channel channel = right.dialers().newChannel();
+            channel.pipeline().addFirst(dialled.get());
+            return channel;
+        };
+    }
+
+    @Override
+    public boolean silent(Channel channel) {
+        return right.silent(channel);
+    }
+
+    @Override
+    public long memory() {
+        return right.memory();
+    }
+
+    @Override
+    public void log(String line) {
+        right.log(line);
+    }
+
+    @Override
+    public void close(Runnable then) {
+        right.close(then);
+    }
+}
