A server that fails one class of requests is left out for that class alone

Checked by logs of every attempt and a dump of the module's state each 0.5 s: five of ten servers answer each status request with an error at once (later: never) and serve the other classes. Ruled out: the choke of the site (answers of the same servers stay at 25 ms), cold starts (1 s there), connections (all come up in 0 ms), descriptors (141 of 256), CPU. At fault: Rules.learn, restUntil and limit of the whole server for each failure, up to 1.7 s at a time (half of all servers at rest at 31 s), and Rules.judge.

Change: what fails is counted by server and class. While the others are answered there and none of them failed within the window, only the class rests and is removed, and its silence makes no less room. Else as before.

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import gatefront.policy.Open.Attempt;
+import gatefront.policy.Target.ByClass;
 import gatefront.policy.Target.Health;
 
 /**
@@ -462,9 +463,10 @@
         if (best != null) {
             return best;
         }
-        boolean availableAnywhere = listed.stream().anyMatch(each -> each.ready && available(each, now));
+        boolean availableAnywhere = listed.stream().anyMatch(each -> each.ready
+            && available(req, each, now));
         boolean availableHere = listed.stream().anyMatch(each -> each.ready
-            && each.listed.zone() == settings.zone() && available(each, now));
+            && each.listed.zone() == settings.zone() && available(req, each, now));
         if (!availableAnywhere) {
             return draw(req, now, false, -1);
         }
@@ -497,13 +499,13 @@
         int out = 0;
         int left = keyed(req) ? listed.size() : spread(where == 1 ? SUBSET_LEAST : SUBSET_FAR, now);
         for (Target target : listed) {
-            if (left > 0 && target.ready && (!healthy || available(target, now))
+            if (left > 0 && target.ready && (!healthy || available(req, target, now))
                     && (where < 0 || (target.listed.zone() == settings.zone()) == (where == 1))) {
                 left--;
                 room += target.limit - target.inFlight;
                 out += target.inFlight;
                 if (!req.tried(target) && inGroups(req, target) && hasRoom(target, now)
-                        && warmEnough(req, target, now)) {
+                        && now >= of(req, target).restUntil && warmEnough(req, target, now)) {
                     scratch.add(target);
                 }
             }
@@ -582,11 +584,15 @@
             return; // says nothing about the server
         }
         boolean failed = outcome != Outcome.OK && outcome != Outcome.FULL;
+        ByClass own = of(req, target);
         target.window.add(now, WINDOW, failed);
+        own.window.add(now, WINDOW, failed);
         if (outcome == Outcome.OK) {
             target.answeredSinceProbe = true;
             target.failuresInRow = 0;
             target.answeredAt = now;
+            own.failuresInRow = 0;
+            own.answeredAt = now;
             recovered(target, now);
             learnTime(req, target, spent, now);
             req.state.served++;
@@ -596,16 +602,23 @@
                 broke(target, now);
             }
         }
-        if (outcome != Outcome.OK && (outcome != Outcome.TIMEOUT || now - spent > target.answeredAt)) {
+        boolean fault = outcome == Outcome.ERROR || outcome == Outcome.TIMEOUT;
+        boolean alone = fault && othersAnswer(target, own, now);
+        own.failedAt = fault ? now : own.failedAt;
+        if (outcome != Outcome.OK && (outcome != Outcome.TIMEOUT || now - spent > own.answeredAt)) {
             // Danger: a server that fails at once always has the fewest in flight and would draw everything;
             // and of many agents none sends a silent server enough to fill the window.
             long usual = (long) Math.max(req.state.typical, settings.tick());
-            target.restUntil = now + (usual << target.failuresInRow);
-            target.failuresInRow = Math.min(REST_DOUBLINGS, target.failuresInRow + 1);
+            if (!alone && (outcome != Outcome.TIMEOUT || now - spent > target.answeredAt)) {
+                target.restUntil = now + (usual << target.failuresInRow);
+                target.failuresInRow = Math.min(REST_DOUBLINGS, target.failuresInRow + 1);
+            }
+            own.restUntil = now + (usual << own.failuresInRow);
+            own.failuresInRow = Math.min(REST_DOUBLINGS, own.failuresInRow + 1);
         }
         // Danger: a connection that breaks says nothing about room; to make less room for each leaves servers
-        // idle behind a network that resets now and then.
-        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET;
+        // idle behind a network that resets now and then. Nor does a class that is never answered.
+        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET && !(alone && own.failuresInRow > 1);
         if (outcome != Outcome.OK && crowded || slow(req, target, spent)) {
             // In proportion where it is low: one slow answer must not close a server to a light agent.
             double factor = spent > req.state.type.aim() ? LIMIT_LATE : LIMIT_FACTOR;
@@ -617,9 +630,29 @@
         if (target.limit < 1) { // Danger: with many agents one each is too much for a small server
             target.restUntil = Math.max(target.restUntil, now + (long) (spent * (1 / target.limit - 1)));
         }
-        if (failed && available(target, now)) {
-            judge(target, now);
+        if (failed && available(req, target, now)) {
+            judge(req, target, alone, now);
+        }
+    }
+
+    /** What a server is to a request's class. */
+    private static ByClass of(Open req, Target target) {
+        return target.byClass[req.request.requestClass()];
+    }
+
+    /**
+     * Whether other classes than this are answered here and have not failed lately. Danger: a release that breaks one
+     * class at half of the servers would take their room from all; but where some of every class fail, the server does.
+     */
+    private static boolean othersAnswer(Target target, ByClass own, long now) {
+        boolean answered = false;
+        for (ByClass each : target.byClass) {
+            if (each != own && each.failedAt > 0 && now - each.failedAt < WINDOW) {
+                return false;
+            }
+            answered |= each != own && each.answeredAt > 0 && now - each.answeredAt < WINDOW;
         }
+        return answered;
     }
 
     /** An answer's time, against the class's and in part the request's own cost, for a hint may be rough. */
@@ -678,10 +711,23 @@
         return target.active != Health.UNHEALTHY && target.passive != Health.UNHEALTHY;
     }
 
-    /** Makes the passive state Unhealthy when too much fails here, and more than elsewhere. */
-    private void judge(Target target, long now) {
-        int total = target.window.total();
-        int failed = target.window.failed();
+    /** The same for a request, whose class may have been removed alone. */
+    private boolean available(Open req, Target target, long now) {
+        ByClass own = of(req, target);
+        if (own.passive == Health.UNHEALTHY && now >= own.reactivateAt) {
+            own.passive = Health.UNKNOWN;
+            own.window.clear();
+            log(target, "class " + req.request.requestClass() + " passive Unknown: reactivated");
+        }
+        return own.passive != Health.UNHEALTHY && available(target, now);
+    }
+
+    /** Makes the passive state, or a class's own, Unhealthy when too much fails here, and more than elsewhere. */
+    private void judge(Open req, Target target, boolean alone, long now) {
+        ByClass own = of(req, target);
+        FailureWindow window = alone ? own.window : target.window;
+        int total = window.total();
+        int failed = window.failed();
         if (total < WINDOW_MINIMUM || failed <= FAILURE_LIMIT * total) {
             return;
         }
@@ -689,9 +735,10 @@
         int peerFailed = 0;
         for (Target peer : listed) {
             if (peer != target && peer.listed.zone() == target.listed.zone()) {
-                peer.window.slideTo(now, WINDOW);
-                peerTotal += peer.window.total();
-                peerFailed += peer.window.failed();
+                FailureWindow theirs = alone ? of(req, peer).window : peer.window;
+                theirs.slideTo(now, WINDOW);
+                peerTotal += theirs.total();
+                peerFailed += theirs.failed();
             }
         }
         // Danger: when everything fails alike, removing servers pushes their load onto the rest; and a few
@@ -700,9 +747,15 @@
         if (failed <= expected + SURE * Math.sqrt(Math.max(1, expected))) {
             return;
         }
-        target.passive = Health.UNHEALTHY;
-        target.reactivateAt = now + REACTIVATION;
-        log(target, "passive Unhealthy: " + failed + " of " + total + " failed");
+        if (alone) {
+            own.passive = Health.UNHEALTHY;
+            own.reactivateAt = now + REACTIVATION;
+        } else {
+            target.passive = Health.UNHEALTHY;
+            target.reactivateAt = now + REACTIVATION;
+        }
+        log(target, (alone ? "class " + req.request.requestClass() + " " : "") + "passive Unhealthy: "
+            + failed + " of " + total + " failed");
     }
 
     /** Those it draws from, and what stands before them that is not available and may recover. */
@@ -897,7 +950,7 @@
             }
             return;
         }
-        Target target = targets.computeIfAbsent(entry.id(), id -> new Target(id));
+        Target target = targets.computeIfAbsent(entry.id(), id -> new Target(id, classes.size()));
         Server before = target.listed;
         target.gone = false;
         if (!listed.contains(target)) {
@@ -922,6 +975,7 @@
         target.limit = 0;
         target.stretch = 1;
         target.window.clear();
+        Arrays.setAll(target.byClass, each -> new ByClass());
         long warmAt = target.listed.startedAt() + settings.obligations().coldTime();
         if (now < warmAt) {
             chill(target, now, target.listed.startedAt(), warmAt, "listed as just started");
--- a/src/main/java/gatefront/policy/Target.java
+++ b/src/main/java/gatefront/policy/Target.java
@@ -39,6 +39,8 @@
     /** Fast failures in a row, and until when it rests for them. */
     int failuresInRow;
     long restUntil;
+    /** The same by class of requests, in the settings' order. */
+    final ByClass[] byClass;
 
     /** Start and end of the warm-up this agent believes in. */
     long coldSince;
@@ -54,7 +56,23 @@
     double answerRate;
     long answerRateAt;
 
-    Target(long id) {
+    Target(long id, int classes) {
         this.id = id;
+        this.byClass = new ByClass[classes];
+        for (int i = 0; i < classes; i++) {
+            byClass[i] = new ByClass();
+        }
+    }
+
+    /** What the server is to one class of requests: it may fail one and serve the others. */
+    static final class ByClass {
+        final FailureWindow window = new FailureWindow();
+        Health passive = Health.UNKNOWN;
+        long reactivateAt;
+        long answeredAt;
+        /** When it last ended in an error or without an answer. */
+        long failedAt;
+        int failuresInRow;
+        long restUntil;
     }
 }
