A repeat goes to a removed server at once when all others are tried, and does not wait

Logs of each outcome under load: a server that drew 4 of 40 calls is removed at 2 failures of 6; the next call fails at the other server, and its repeat was held for 3 s, for Rules.pick took the server that it had tried for one that is available and never came to the mechanism's last step, all servers.

Change: available servers are those that this request may still go to. Test: the repeat is sent at once (fails without).

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -463,8 +463,9 @@
         if (best != null) {
             return best;
         }
-        boolean availableAnywhere = listed.stream().anyMatch(each -> each.ready
-            && available(req, each, now));
+        // Danger: a repeat would wait all its time for a removed server because the one it has tried is available.
+        boolean availableAnywhere = listed.stream().anyMatch(each -> each.ready && !req.tried(each)
+            && inGroups(req, each) && available(req, each, now));
         boolean availableHere = listed.stream().anyMatch(each -> each.ready
             && each.listed.zone() == settings.zone() && available(req, each, now));
         if (!availableAnywhere) {
--- a/src/test/java/gatefront/policy/ClassFailureTest.java
+++ b/src/test/java/gatefront/policy/ClassFailureTest.java
@@ -124,4 +124,19 @@
         hand.full(Hand.server(1, 0, Balancer.Phase.READY, hand.now - 30 * Hand.SECOND), Hand.server(2, 0));
         assertTrue(play(hand, 20, BROKEN, Outcome.OK, USUAL)[1] > 0, "still removed after its restart");
     }
+
+    /** Failed before: the repeat was held until its time was up, for the server tried first was available. */
+    @Test
+    void aRepeatDoesNotWaitForARemovedServerWhenAllOthersAreTried() {
+        Hand hand = served();
+        for (int i = 0; i < 60; i++) {
+            play(hand, 1, BROKEN, Outcome.ERROR, 1_000);
+        }
+        hand.pass(Hand.SECOND);
+        long id = hand.request(BROKEN, 0);
+        assertEquals(2, hand.target(id));
+        hand.end(id, 0, Outcome.ERROR, 1_000);
+        assertEquals(2, hand.sends(id).size(), "sent to the removed one at once");
+        assertEquals(1, hand.target(id));
+    }
 }
