--- a/src/test/java/gatefront/policy/ClassFailureTest.java
+++ b/src/test/java/gatefront/policy/ClassFailureTest.java
@@ -54,6 +54,16 @@
         return hand;
     }
 
+    /** Then one class broken at server 1, until it is removed for it. */
+    private static Hand broken() {
+        Hand hand = served();
+        for (int i = 0; i < 60; i++) {
+            play(hand, 1, BROKEN, Outcome.ERROR, 1_000);
+            play(hand, 1, SOUND, Outcome.OK, USUAL);
+        }
+        return hand;
+    }
+
     /** Failed before: five errors of one class removed the server for every class. */
     @Test
     void errorsOfOneClassTakeTheServerFromThatClassOnly() {
@@ -90,11 +100,7 @@
 
     @Test
     void aClassIsTriedAgainAfterItsReactivation() {
-        Hand hand = served();
-        for (int i = 0; i < 60; i++) {
-            play(hand, 1, BROKEN, Outcome.ERROR, 1_000);
-            play(hand, 1, SOUND, Outcome.OK, USUAL);
-        }
+        Hand hand = broken();
         assertTrue(hand.logged("server 1 class 0 passive Unhealthy"), String.join("\n", hand.lines));
         assertEquals(0, play(hand, 20, BROKEN, Outcome.OK, USUAL)[1], "removed");
         hand.pass(5 * Hand.SECOND);
@@ -116,11 +122,7 @@
 
     @Test
     void aProcessThatStartsAnewStartsWithEveryClass() {
-        Hand hand = served();
-        for (int i = 0; i < 60; i++) {
-            play(hand, 1, BROKEN, Outcome.ERROR, 1_000);
-            play(hand, 1, SOUND, Outcome.OK, USUAL);
-        }
+        Hand hand = broken();
         hand.full(Hand.server(1, 0, Balancer.Phase.READY, hand.now - 30 * Hand.SECOND), Hand.server(2, 0));
         assertTrue(play(hand, 20, BROKEN, Outcome.OK, USUAL)[1] > 0, "still removed after its restart");
     }
