Cold servers by their own reports; a reported queue lessens room; dear probes are rarer

At fault: no load report was read (Rules.outcome passed them by), so that a light agent judged a server by its own three answers a second; LIMIT_FACTOR 0.3 closed servers over one heavy request.

Now a cold server's room grows by half its sure part with every report that it keeps up, to twice what it began with, and shrinks by 0.3 where requests wait; more than one waiting request a core makes less room on warm ones; LIMIT_FACTOR is 0.5; where a probe costs more than 0.04 the interval grows with the price. An exception in learn without effect is gone.

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import gatefront.policy.Open.Attempt;
@@ -25,6 +23,8 @@
     private static final long SECOND = 1_000_000;
     /** Between two probes of a server, by all that share it: a silent one is found for a small price. */
     private static final long PROBE_INTERVAL = SECOND;
+    /** The price of a probe from which that grows with it: a fleet where probes are dear pays for them all. */
+    private static final double PROBE_DEAR = 0.04;
     /** Servers of the own zone that a light agent draws from: two to compare, and as many may fail. */
     private static final int SUBSET_LEAST = 3;
     /** And of other zones, where its own has no room: two to compare. */
@@ -52,7 +52,10 @@
     /** After a fast answer with the limit half used; after a slow one: even at one slow answer in nine. */
     private static final double LIMIT_UP = 0.2;
     private static final double LIMIT_DOWN = 1.6;
-    private static final double LIMIT_FACTOR = 0.3;
+    private static final double LIMIT_FACTOR = 0.5;
+    /** Waiting requests a listed core from which a server has too much, by its own report, and what is left then. */
+    private static final double QUEUE_MOST = 1;
+    private static final double QUEUE_FACTOR = 0.8;
     /** The same past the aim: a choked server mends only if all that share it leave it for seconds. */
     private static final double LIMIT_LATE = 0.1;
     /** Up to this limit an agent is light: its answers from a server are few, and one says little. */
@@ -97,6 +100,8 @@
     private static final double SPILL_STEP = 0.01;
     /** The part of what the settings make expect at the worst that a cold server needs, until it is measured. */
     private static final double COLD_HOPE = 0.5;
+    /** Waiting requests a core under which a cold server keeps up: its room grows by half, else it shrinks. */
+    private static final double COLD_QUEUE = 0.2;
     /** How much of the time that topples a server its burst may fill: half, the list may be late. */
     private static final double COLD_BURST = 0.5;
     /** The part of a keyed request's window in which it may be resent: a late arrival would run again. */
@@ -188,10 +193,8 @@
         }
     }
 
-    /**
-     * What a client's repeat has behind it. First tries of a class all bring the same time; a request that
-     * brings another is a repeat, and what it lacks of the time for all tries is spent.
-     */
+    // What a client's repeat has behind it. First tries of a class all bring the same time; a request that brings
+    // another is a repeat, and what it lacks of the time for all tries is spent.
     private long spentBefore(Request request, ClassState state, long now) {
         long left = request.deadline() - now;
         boolean usual = Math.abs(left - state.usualLeft) <= SAME_TICKS * settings.tick();
@@ -243,13 +246,11 @@
         }
     }
 
-    /**
-     * Sends what was held for want of room, the newest of each class first. Danger: oldest first, in a long
-     * queue each is sent when it is just too late, and the servers work for nobody.
-     */
+    // Sends what was held for want of room, the newest of each class first. Danger: oldest first, in a long queue each
+    // is sent when it is just too late, and the servers work for nobody.
     private void release(long now) {
         for (ClassState state : order) {
-            Deque<Open> queue = state.held;
+            var queue = state.held;
             while (!queue.isEmpty() && (!queue.peekFirst().held || hopeless(queue.peekFirst(), now))) {
                 Open oldest = queue.pollFirst();
                 if (oldest.held) {
@@ -315,7 +316,7 @@
         ended.outcome = outcome;
         ended.target.inFlight--;
         forget(ended.target);
-        learn(req, ended.target, outcome, spent, now);
+        learn(req, ended.target, outcome, spent, queued(ended.target, load, now), now);
         if (closed) {
             close(req);
         }
@@ -469,7 +470,7 @@
         if (best != null) {
             return best;
         }
-        // Danger: a repeat would wait all its time for a removed server because the one it has tried is available.
+        // Danger: a repeat would wait all its time for a removed server, the one it has tried being available.
         boolean availableAnywhere = listed.stream().anyMatch(each -> each.ready && !req.tried(each)
             && inGroups(req, each) && available(req, each, now));
         boolean availableHere = listed.stream().anyMatch(each -> each.ready
@@ -543,12 +544,10 @@
         return settings.warmKeys() || stretch(a, now) <= stretch(b, now) ? a : b;
     }
 
-    /**
-     * From how many servers an agent draws: few while it sends little, more with the work it sends. Danger:
-     * many light agents that each use every server fill the servers' connection tables, pay a handshake for
-     * nearly every request, and none sees enough of one server to judge it. What is out does not count: it
-     * grows in a jam, and the jam with it.
-     */
+    // From how many servers an agent draws: few while it sends little, more with the work it sends. Danger: many light
+    // agents that each use every server fill the servers' connection tables, pay a handshake for nearly every request,
+    // and none sees enough of one server to judge it. What is out does not count: it grows in a jam, and the jam with
+    // it.
     private int spread(int least, long now) {
         busy *= Math.exp(-(double) (now - busyAt) / RATE_PERIOD);
         busyAt = now;
@@ -559,10 +558,8 @@
         return Math.max(least, SUBSET_SHARERS * listed.size() / settings.agents());
     }
 
-    /**
-     * Leaves servers with at most one over the mean in flight: hashing with bounded loads. Danger: the
-     * servers of a key that many ask for have far more than the others, up to their limits.
-     */
+    // Leaves servers with at most one over the mean in flight: hashing with bounded loads. Danger: the servers of a
+    // key that many ask for have far more than the others, up to their limits.
     private void leaveBusy() {
         double most = 1 + scratch.stream().mapToInt(each -> each.inFlight).average().orElse(0);
         scratch.removeIf(target -> target.inFlight > most);
@@ -586,7 +583,7 @@
             && (!cold(target, now) || coldBudget(target, now) >= 1);
     }
 
-    private void learn(Open req, Target target, Outcome outcome, long spent, long now) {
+    private void learn(Open req, Target target, Outcome outcome, long spent, double queued, long now) {
         if (outcome == Outcome.CANCELLED || outcome == Outcome.NEVER_SENT) {
             return; // says nothing about the server
         }
@@ -625,14 +622,16 @@
             own.failuresInRow = Math.min(REST_DOUBLINGS, own.failuresInRow + 1);
         }
         // Danger: a connection that breaks says nothing about room; to make less room for each leaves servers
-        // idle behind a network that resets now and then. Nor does a class that is never answered,
-        // though the time that it took passes for slow below.
-        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET && !(alone && own.failuresInRow > 1);
+        // idle behind a network that resets now and then.
+        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET;
         if (outcome != Outcome.OK && crowded || slow(req, target, spent)) {
             // In proportion where it is low: one slow answer must not close a server to a light agent.
             double factor = spent > req.state.type.aim() ? LIMIT_LATE : LIMIT_FACTOR;
             double less = target.limit > LIMIT_FEW ? target.limit - LIMIT_DOWN : factor * target.limit;
             target.limit = Math.max(Math.min(1, LIMIT_LEAST / settings.agents()), less);
+        } else if (queued > QUEUE_MOST) {
+            // Danger: what one light agent sees of a server is little, and all of them together fill it unseen.
+            target.limit = Math.max(Math.min(1, LIMIT_LEAST / settings.agents()), QUEUE_FACTOR * target.limit);
         } else if (outcome == Outcome.OK && 2 * (target.inFlight + 1) >= target.limit) {
             target.limit += LIMIT_UP;
         }
@@ -644,15 +643,31 @@
         }
     }
 
+    /** Requests that wait at a server for each listed core, by its report, or a negative number. */
+    private double queued(Target target, double[] load, long now) {
+        int at = settings.loadFields().indexOf(LoadField.QUEUED);
+        double queued = at < 0 || load.length <= at ? -1 : load[at] / target.weight();
+        if (queued >= 0 && cold(target, now)) {
+            // What it keeps up with is less than it can do; the report is late.
+            target.coldRoom = queued < COLD_QUEUE ? Math.min(2 * coldRoom(), target.coldRoom + 0.5)
+                : Math.max(1, 0.7 * target.coldRoom);
+        }
+        return queued;
+    }
+
+    // What is sent to a cold server at first, as a multiple of its sure part: one under what topples it.
+    private double coldRoom() {
+        return Math.max(1, settings.obligations().overloadMultiple() - 1);
+    }
+
     /** What a server is to a request's class. */
     private static ByClass of(Open req, Target target) {
         return target.byClass[req.request.requestClass()];
     }
 
-    /**
-     * Whether other classes than this are answered here and have not failed lately. Danger: a release that breaks one
-     * class at half of the servers would take their room from all; but where some of every class fail, the server does.
-     */
+    // Whether other classes than this are answered here and have not failed lately. Danger: a release that breaks one
+    // class at half of the servers would take their room from all; but where some of every class fail, the server
+    // does.
     private static boolean othersAnswer(Target target, ByClass own, long now) {
         boolean answered = false;
         for (ByClass each : target.byClass) {
@@ -701,11 +716,9 @@
         return usual + (target.stretch - usual) * Math.exp(-(double) (now - target.stretchAt) / RATE_PERIOD);
     }
 
-    /**
-     * Whether an answer was slow for its class and its server's nature. Danger: where the aim leaves room for
-     * many times the work, a short queue does no harm, and to pause for it leaves servers idle; so does
-     * holding small machines to the pace of the large ones.
-     */
+    // Whether an answer was slow for its class and its server's nature. Danger: where the aim leaves room for many
+    // times the work, a short queue does no harm, and to pause for it leaves servers idle; so does holding small
+    // machines to the pace of the large ones.
     private boolean slow(Open req, Target target, long spent) {
         Quantile times = req.state.times;
         double nature = target.pace.known() ? Math.max(1, Math.min(NATURE_MAX, target.pace.lowest())) : 1;
@@ -787,10 +800,8 @@
         return watched.isEmpty() ? listed : watched;
     }
 
-    /**
-     * Sends the next probe and sets the time of another. Danger: every agent probes every server, and at size
-     * the probes cost more than the requests; and agents started together would probe in step.
-     */
+    // Sends the next probe and sets the time of another. Danger: every agent probes every server, and at size the
+    // probes cost more than the requests; and agents started together would probe in step.
     private void probe(long now, double from) {
         probing = settings.permits().probes() && !listed.isEmpty();
         if (!probing) {
@@ -798,7 +809,8 @@
         }
         List<Target> watched = watched(now);
         double sharers = (double) settings.agents() * watched.size() / listed.size();
-        double mean = PROBE_INTERVAL * Math.max(1, sharers) / watched.size();
+        double interval = PROBE_INTERVAL * Math.max(1, settings.prices().probe() / PROBE_DEAR);
+        double mean = interval * Math.max(1, sharers) / watched.size();
         actions.timer(TIMER_PROBE, 1 + (long) (mean * (from + random.nextDouble())));
         Target target = watched.get(probeTurn++ % watched.size());
         if (from > 0 && !target.probeOut) {
@@ -814,6 +826,7 @@
             return;
         }
         target.probeOut = false;
+        queued(target, load, now);
         if (outcome == Outcome.NEVER_SENT) {
             return; // says nothing about the server
         }
@@ -850,11 +863,9 @@
         target.broken = true;
     }
 
-    /**
-     * First answer after a break: it may have restarted, whatever the list says; treat it as cold. Danger: a
-     * network that resets connections now and then makes every server cold, over and over, and the requests
-     * of all are turned away; a process does not come back within the time of one more try.
-     */
+    // First answer after a break: it may have restarted, whatever the list says; treat it as cold. Danger: a network
+    // that resets connections now and then makes every server cold, over and over, and the requests of all are turned
+    // away; a process does not come back within the time of one more try.
     private void recovered(Target target, long now) {
         if (target.broken) {
             target.broken = false;
@@ -866,6 +877,7 @@
 
     private void chill(Target target, long now, long since, long until, String why) {
         target.coldSince = since;
+        target.coldRoom = coldRoom();
         target.coldUntil = until;
         target.coldTokens = random.nextDouble(); // a whole one each, and a thousand agents send a thousand
         target.coldAt = now;
@@ -874,30 +886,26 @@
 
     /** The part of its capacity that a cold server has at the least. */
     private double surely(Target target, long now) {
-        double share = Math.max(0, (double) (now - target.coldSince) / settings.obligations().coldTime());
-        double from = settings.obligations().coldFrom();
-        return from + (1 - from) * Math.min(1, share);
+        double share = Math.min(1, Math.max(0, (double) (now - target.coldSince) / settings.obligations().coldTime()));
+        return share + (1 - share) * settings.obligations().coldFrom();
     }
 
     /** Danger: a server that has just started may need longer for one request than anybody waits. */
     private boolean warmEnough(Open req, Target target, long now) {
-        return !cold(target, now)
-            || coldStretch * req.state.typical / surely(target, now) < req.endAt - now;
+        return !cold(target, now) || coldStretch * req.state.typical / surely(target, now) < req.endAt - now;
     }
 
     private boolean cold(Target target, long now) {
         return now < target.coldUntil;
     }
 
-    /**
-     * Requests this agent may send to a cold server now. Danger: all agents together push it over. Each keeps to
-     * the server's part of its own demand, were that spread over all, times the part that is surely warm, and
-     * that as often as leaves one of the multiple that topples it. What it gets answered elsewhere says nothing to
-     * an agent that has just started, nor where a whole zone is cold.
-     */
+    // Requests this agent may send to a cold server now. Danger: all agents together push it over. Each keeps to the
+    // server's part of its own demand, were that spread over all, times the part that is surely warm, and that the
+    // more often the better it keeps up by its own reports. What it gets answered elsewhere says nothing to an agent
+    // that has just started, nor where a whole zone is cold.
     private double coldBudget(Target target, long now) {
         double perSecond = demand(now) * target.weight() / weights * surely(target, now)
-            * Math.max(1, settings.obligations().overloadMultiple() - 1);
+            * target.coldRoom;
         double most = 1 + perSecond * COLD_BURST * settings.obligations().overloadTime() / SECOND;
         target.coldTokens = Math.min(most, target.coldTokens + perSecond * (now - target.coldAt) / SECOND);
         target.coldAt = now;
@@ -932,7 +940,7 @@
             askDelay = ASK_BACKOFF;
         }
         if (kind != ListKind.DELTA) {
-            Set<Long> complete = entries.stream().map(Server::id).collect(Collectors.toSet());
+            var complete = entries.stream().map(Server::id).collect(Collectors.toSet());
             List.copyOf(listed).stream().filter(each -> !complete.contains(each.id)).forEach(this::remove);
         }
         for (Server entry : entries) {
--- a/src/main/java/gatefront/policy/Target.java
+++ b/src/main/java/gatefront/policy/Target.java
@@ -48,6 +48,8 @@
     /** Requests that may be sent while cold, and when that was reckoned. */
     double coldTokens;
     long coldAt;
+    /** How many times its sure part it is sent while cold. */
+    double coldRoom;
     /** A broken connection or a dead probe was seen and no answer since. */
     boolean broken;
     /** When that was first seen. */
--- a/src/test/java/gatefront/policy/ColdFleetTest.java
+++ b/src/test/java/gatefront/policy/ColdFleetTest.java
@@ -125,6 +125,54 @@
         assertTrue(2 * sentFrom(slow, 101) < sentFrom(quick, 101), "slow " + sentFrom(slow, 101));
     }
 
+    private static Hand reporting(int agents) {
+        var s = Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(4, false, true, false, false, 0), 1, agents);
+        return new Hand(new Balancer.Settings(s.agent(), s.agents(), s.zone(), s.zones(), s.tick(), s.askDiscovery(),
+            s.warmKeys(), s.listedWeights(), s.worthByWork(), s.overQuotaWorth(), s.permits(), s.obligations(),
+            s.prices(), s.goal(), s.classes(), s.tenants(), List.of(Balancer.LoadField.QUEUED)), 7);
+    }
+
+    /** The same requests to cold servers, whose answers report so many waiting. */
+    private static int sentWhile(double queued) {
+        Hand hand = reporting(AGENTS);
+        hand.report = new double[] {queued};
+        live(hand, 5, 50_000);
+        hand.full(servers(1, SERVERS, 0, hand.now));
+        int before = hand.all("send").size();
+        live(hand, 4, 50_000);
+        return hand.all("send").size() - before;
+    }
+
+    /**
+     * What a cold server reports comes of all agents together. Failed before: one that kept up with ease got no more
+     * than one that had requests waiting.
+     */
+    @Test
+    void aColdServerThatKeepsUpGetsMoreThanOneWhereRequestsWait() {
+        int idle = sentWhile(0);
+        int crowded = sentWhile(3);
+        assertTrue(idle > 1.3 * crowded, idle + " and " + crowded);
+        assertTrue(crowded > 0);
+        assertTrue(sentWhile(Double.NaN) < idle, "what makes no sense is no report");
+    }
+
+    /** Failed before: an agent whose own answers are in time fills a server that tells that requests wait there. */
+    @Test
+    void aServerThatReportsRequestsWaitingGetsFewerAtOnce() {
+        int[] most = new int[2];
+        for (int busy = 0; busy < 2; busy++) {
+            Hand hand = reporting(2).full(Hand.server(1, 0), Hand.server(2, 0));
+            hand.report = new double[] {busy == 0 ? 0 : 2};
+            live(hand, 5, 100_000);
+            for (int i = 0; i < 20; i++) {
+                hand.request();
+            }
+            most[busy] = hand.acts.stream().filter(act -> act.what().equals("send") && act.id() > 150).mapToInt(act -> 1).sum();
+        }
+        assertTrue(most[1] < most[0], most[0] + " and " + most[1]);
+    }
+
     /** Weights that make no sense come from a socket. */
     @Test
     void weightsThatMakeNoSenseStarveNobody() {
--- a/src/test/java/gatefront/policy/Hand.java
+++ b/src/test/java/gatefront/policy/Hand.java
@@ -33,6 +33,8 @@
     private final List<Timer> timers = new ArrayList<>();
     final Balancer balancer;
     long now = 100 * SECOND;
+    /** What servers report with each answer. */
+    double[] report = new double[0];
     private long nextId = 1;
 
     Hand(Settings settings) {
@@ -99,7 +101,7 @@
 
     void end(long id, int attempt, Outcome outcome, long spent) {
         balancer.outcome(now, id, attempt, sends(id).get(attempt).server(), outcome, spent,
-            outcome == Outcome.OK, new double[0]);
+            outcome == Outcome.OK, report);
     }
 
     /** Moves the clock on in ticks, delivering timers as they come due. */
