Fleets in the rehearsal kit; calls for the server list with jitter, pause after news, longer back-off

Three built-in plans (fleet-zone, fleet-join, fleet-herd: 14 agents, 60 nodos); faults take zone and spread_s, the padron calls_s; the report counts probes, new connections, list calls, the fullest nodo and what topples a cold one, by second and a request. Wrong keys get one line.

Seen with the kit: with a padron that takes 6 calls a second, 14 agents made 759 calls in 20 s, 519 turned away. At fault: Discovery.failed doubled from 50 ms without jitter and Discovery.answered forgot the back-off with one answer and asked again at once after news, so each change brought all agents back together. Tried: full jitter alone, 835 calls, for it halves the mean wait. Now full jitter, a back-off that one answer halves and that a 503 lets grow to a quarter of the time within which the list is to be asked, and 60 to 120 ms after news (a watch goes on within 200 ms): 587 calls.

FleetRehearsalTest breaks with the code before: 94 requests served in the lost sala (716 now), 884 by new nodos (1,403), 759 list calls. mvn verify passed (2 min 23 s).

--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -31,6 +31,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -56,8 +57,15 @@
     private static final long ANSWER_MS = 2_000;
     private static final long BACKOFF_LEAST_MS = 50;
     private static final long BACKOFF_MOST_MS = 1_000;
+    /** And where it says that it has too much to do, a part of the time within which it is to be asked. */
+    private static final long OVERBOOKED_PART = 4;
     /** Before the next watch when one brought nothing: discovery may answer at once, and would be flooded. */
     private static final long EMPTY_PAUSE_MS = 20;
+    /**
+     * Before the next watch when one brought news, with as much jitter: changes come in waves, and every agent would
+     * come back for each. A watch goes on if the next call comes within 200 ms; what changes until then counts as told.
+     */
+    private static final long NEWS_PAUSE_MS = 60;
     private static final int LIST_BYTES_MAX = 4 << 20;
 
     private final EventLoop loop;
@@ -73,6 +81,8 @@
     /** Numbers the calls: what belongs to an earlier one is disregarded. */
     private int call;
     private Future<?> timeout;
+    /** Agents that fail together must not come back together. */
+    private final SplittableRandom jitter;
     private long backoff = BACKOFF_LEAST_MS;
 
     /** Follows nothing yet; {@link #watch()} begins. */
@@ -81,6 +91,7 @@
         this.config = config;
         this.address = config.discovery();
         this.listener = listener;
+        this.jitter = new SplittableRandom(config.seed());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(transport.dialers())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
             .option(ChannelOption.TCP_NODELAY, true).disableResolver()
@@ -176,6 +187,10 @@
     }
 
     private void failed(int mine, String why) {
+        failed(mine, why, BACKOFF_MOST_MS);
+    }
+
+    private void failed(int mine, String why, long backoffMost) {
         if (mine != call || closed) {
             return;
         }
@@ -183,8 +198,9 @@
         if (config.settings().askDiscovery()) {
             watching = false; // the module decides when to ask again
         } else {
-            next(backoff);
-            backoff = Math.min(2 * backoff, BACKOFF_MOST_MS);
+            // Full jitter: doubled steps alone keep those that began together in step for ever.
+            next(jitter.nextLong(backoff + 1));
+            backoff = Math.max(BACKOFF_LEAST_MS, Math.min(2 * backoff, backoffMost));
         }
         listener.failed(why);
     }
@@ -192,7 +208,9 @@
     private void answered(FullHttpResponse response) {
         timeout.cancel(false);
         if (response.decoderResult().isFailure() || response.status().code() != 200) {
-            failed(call, "answer " + response.status().code());
+            failed(call, "answer " + response.status().code(), response.status().code() == 503
+                ? Math.max(BACKOFF_MOST_MS, config.settings().obligations().askWithin() / 1000 / OVERBOOKED_PART)
+                : BACKOFF_MOST_MS);
             return;
         }
         Listing listing;
@@ -206,12 +224,12 @@
             return;
         }
         index = listing.index();
-        backoff = BACKOFF_LEAST_MS;
+        backoff = Math.max(BACKOFF_LEAST_MS, backoff / 2); // one answer does not end the crowd
         if (!HttpUtil.isKeepAlive(response)) {
             drop();
         }
         boolean news = listing.snapshot() || !listing.endpoints().isEmpty();
-        next(news ? 0 : EMPTY_PAUSE_MS);
+        next(news ? NEWS_PAUSE_MS + jitter.nextLong(NEWS_PAUSE_MS) : EMPTY_PAUSE_MS);
         if (news) {
             listener.list(listing.snapshot() ? ListKind.FULL : ListKind.DELTA, listing.endpoints());
         }
--- a/src/main/java/gatefront/rehearsal/Cast.java
+++ b/src/main/java/gatefront/rehearsal/Cast.java
@@ -7,6 +7,7 @@
 import gatefront.rehearsal.world.NodoModel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * What a seed makes of a plan: every figure that the plan gives as a range. Each concern has a random source of
@@ -30,9 +31,15 @@
     record Nodo(int zone, int cell, String kind, double weight, NodoModel.Machine machine, double limit) { }
 
     /** A fault with its figures; targets are indexes of nodos or agents. Times in microseconds. */
-    record Trouble(Fault fault, long at, long lasts, int[] targets, double size, long every) {
+    record Trouble(Fault fault, long at, long lasts, int[] targets, double size, long every, long spread) {
+        /** When the last of those that it meets is done with. */
         long until() {
-            return at + lasts;
+            return at + lasts + spread;
+        }
+
+        /** By how much later than the first the n-th of them is met. */
+        long later(int n) {
+            return targets.length < 2 ? 0 : spread * n / (targets.length - 1);
         }
     }
 
@@ -129,24 +136,24 @@
                 case NOBODY -> 0;
             };
             troubles.add(new Trouble(fault, (long) (1e6 * fault.at().draw(draw::between)),
-                (long) (1e6 * fault.lasts().draw(draw::between)), targets(fault, most, draw),
-                fault.size().draw(draw::between), (long) (1e6 * fault.every().draw(draw::between))));
+                (long) (1e6 * fault.lasts().draw(draw::between)), targets(fault, most, plan.zones().size(), draw),
+                fault.size().draw(draw::between), (long) (1e6 * fault.every().draw(draw::between)),
+                (long) (1e6 * fault.spread().draw(draw::between))));
         }
         troubles.sort((a, b) -> Long.compare(a.at, b.at));
         return List.copyOf(troubles);
     }
 
-    private static int[] targets(Fault fault, int most, Draw draw) {
+    private static int[] targets(Fault fault, int count, int zones, Draw draw) {
         if (!fault.names().isEmpty()) {
             return fault.names().stream()
                 .mapToInt(name -> Integer.parseInt(name.substring(name.indexOf('-') + 1)) - 1).toArray();
         }
+        // Nodos and agents stand in the salas in turn.
+        int[] all = IntStream.range(0, count).filter(i -> fault.zone() < 0 || i % zones == fault.zone()).toArray();
+        int most = all.length;
         int n = most == 0 || fault.share() == 0 ? 0
             : Math.max(1, (int) StrictMath.rint(fault.share() * most));
-        int[] all = new int[most];
-        for (int i = 0; i < most; i++) {
-            all[i] = i;
-        }
         for (int i = 0; i < n; i++) { // the first steps of a shuffle
             int j = i + draw.below(most - i);
             int swap = all[i];
--- a/src/main/java/gatefront/rehearsal/NodoStand.java
+++ b/src/main/java/gatefront/rehearsal/NodoStand.java
@@ -341,6 +341,7 @@
             } else {
                 work();
                 model.charge(day.now(), day.cast.connectionMicros());
+                day.record.handshake(day.now(), connections);
                 next();
                 rests(this);
             }
@@ -387,6 +388,7 @@
         final void probed() {
             work();
             model.charge(day.now(), day.cast.probeMicros());
+            day.record.probe(day.now());
             next();
         }
 
@@ -425,6 +427,9 @@
                     over(Ending.TURNED_AWAY);
                 }
             }
+            if (model != null) {
+                day.record.pressed(day.now(), model.pressed());
+            }
             if (model != null && model.fallen() && !fell) {
                 fall();
             }
--- a/src/main/java/gatefront/rehearsal/PadronStand.java
+++ b/src/main/java/gatefront/rehearsal/PadronStand.java
@@ -51,6 +51,9 @@
     private final List<Channel> listening = new ArrayList<>();
     private int port = FIRST_PORT;
     private boolean silent;
+    /** Calls that it can take now: as many as come in a second, at the most. */
+    private double room;
+    private long roomAt;
 
     PadronStand(Day day) {
         this.day = day;
@@ -180,6 +183,19 @@
         }
     }
 
+    /** Whether this call is one more than it can take. */
+    private boolean overbooked() {
+        double most = day.plan.padron().callsPerSecond();
+        room = Math.min(Math.max(1, most), room + most * (day.now() - roomAt) / 1e6);
+        roomAt = day.now();
+        if (most > 0 && room < 1) {
+            day.record.listTurnedAway(day.now());
+            return true;
+        }
+        room--;
+        return false;
+    }
+
     /** One connection of an agent. */
     private final class Asking extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final int at;
@@ -214,6 +230,14 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
             int mine = ++call;
+            day.record.listCall(day.now());
+            if (overbooked()) {
+                var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.SERVICE_UNAVAILABLE);
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                ctx.writeAndFlush(response);
+                return;
+            }
             if (!uri.parameters().containsKey("since")) {
                 since = Long.MAX_VALUE; // anything is news to it
                 news();
--- a/src/main/java/gatefront/rehearsal/Page.java
+++ b/src/main/java/gatefront/rehearsal/Page.java
@@ -191,21 +191,29 @@
     }
 
     private void attempts() {
-        out.append("<h2>Tries of callers and attempts at nodos, a second</h2>");
-        key(new String[] {"tries", "attempts"}, LINES);
+        plot("Tries of callers and attempts at nodos, a second", new String[] {"tries", "attempts"}, record.tries,
+            record.attempts);
+        plot("What the fleet costs beside its requests, a second", new String[] {"probes", "handshakes", "list calls"},
+            record.probes, record.handshakes, record.listCalls);
+    }
+
+    private void plot(String title, String[] names, int[]... lines) {
+        out.append("<h2>").append(title).append("</h2>");
+        key(names, LINES);
         int bottom = 130;
         open(bottom + 22, 0);
         int most = 1;
         for (int s = 0; s < record.seconds; s++) {
-            most = Math.max(most, Math.max(record.tries[s], record.attempts[s]));
+            for (int[] line : lines) {
+                most = Math.max(most, line[s]);
+            }
         }
         axis(10, bottom, String.valueOf(most));
-        int[][] both = {record.tries, record.attempts};
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < lines.length; i++) {
             StringBuilder points = new StringBuilder();
             for (int s = 0; s < record.seconds; s++) {
                 points.append(String.format(Locale.ROOT, "%.1f,%.1f ", x(s + 0.5),
-                    bottom - (bottom - 10.0) * both[i][s] / most));
+                    bottom - (bottom - 10.0) * lines[i][s] / most));
             }
             add("<polyline fill=\"none\" stroke=\"%s\" stroke-width=\"1.8\" points=\"%s\"/>", LINES[i], points);
         }
--- a/src/main/java/gatefront/rehearsal/Record.java
+++ b/src/main/java/gatefront/rehearsal/Record.java
@@ -4,6 +4,7 @@
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Patience;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -35,6 +36,15 @@
     final int[][] counts;
     final int[] tries;
     final int[] attempts;
+    /** What the fleet costs beside its requests, by second. */
+    final int[] probes;
+    final int[] handshakes;
+    final int[] listCalls;
+    final int[] listTurnedAway;
+    /** Connections that the fullest nodo holds, by second. */
+    final int[] fullest;
+    /** How much of what topples it the nearest cold nodo was sent, by second. */
+    final double[] coldest;
     /** By nodo, by second: requests held a core; -1 while it does not run. */
     final List<double[]> load = new ArrayList<>();
     final List<String> nodoNames = new ArrayList<>();
@@ -60,6 +70,12 @@
         this.counts = new int[classes][Fate.values().length];
         this.tries = new int[seconds];
         this.attempts = new int[seconds];
+        this.probes = new int[seconds];
+        this.handshakes = new int[seconds];
+        this.listCalls = new int[seconds];
+        this.listTurnedAway = new int[seconds];
+        this.fullest = new int[seconds];
+        this.coldest = new double[seconds];
     }
 
     void opens(long at) {
@@ -92,6 +108,39 @@
         attempts[second(now)]++;
     }
 
+    void probe(long now) {
+        probes[second(now)]++;
+    }
+
+    void handshake(long now, int held) {
+        int at = second(now);
+        handshakes[at]++;
+        fullest[at] = Math.max(fullest[at], held);
+    }
+
+    void listCall(long now) {
+        listCalls[second(now)]++;
+    }
+
+    void listTurnedAway(long now) {
+        listTurnedAway[second(now)]++;
+    }
+
+    /** A cold nodo has been sent so much of what topples it. */
+    void pressed(long now, double part) {
+        int at = second(now);
+        coldest[at] = Math.max(coldest[at], part);
+    }
+
+    /** So many of something for each first try, over the day. */
+    double each(int[] bySecond) {
+        int wants = 0;
+        for (int[] kind : counts) {
+            wants += Arrays.stream(kind).sum();
+        }
+        return (double) Arrays.stream(bySecond).sum() / Math.max(1, wants);
+    }
+
     void settled(Demand.Want want, long now, Patience.Fate how) {
         open--;
         Plan.Kind kind = plan.classes().get(want.kind());
@@ -121,7 +170,7 @@
     private void know(int nodo) {
         while (load.size() <= nodo) {
             double[] none = new double[seconds];
-            java.util.Arrays.fill(none, -1);
+            Arrays.fill(none, -1);
             load.add(none);
             served.add(new int[seconds]);
             nodoNames.add("nodo-" + load.size());
--- a/src/main/java/gatefront/rehearsal/Report.java
+++ b/src/main/java/gatefront/rehearsal/Report.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Locale;
 
 /** The report of a rehearsal as JSON. The same plan and seed give the same bytes, in any JVM. */
@@ -64,6 +65,13 @@
                 counts.put(word(fate), record.counts[i][fate.ordinal()]);
             }
         }
+        root.putObject("fleet").put("probes_a_request", round(record.each(record.probes)))
+            .put("handshakes_a_request", round(record.each(record.handshakes)))
+            .put("list_calls_a_request", round(record.each(record.listCalls)))
+            .put("attempts_a_request", round(record.each(record.attempts)))
+            .put("connections_of_the_fullest", Arrays.stream(record.fullest).max().orElse(0))
+            .put("connections_most", plan.nodos().connections())
+            .put("part_of_what_topples", round(Arrays.stream(record.coldest).max().orElse(0)));
         rules(root.putObject("rules"), outcome);
         ArrayNode troubles = root.putArray("troubles");
         for (Cast.Trouble each : outcome.cast().troubles()) {
@@ -105,7 +113,11 @@
             for (Record.Fate fate : Record.Fate.values()) {
                 second.put(word(fate), round(fates[fate.ordinal()]));
             }
-            second.put("tries", record.tries[s]).put("attempts", record.attempts[s]);
+            second.put("tries", record.tries[s]).put("attempts", record.attempts[s])
+                .put("probes", record.probes[s]).put("handshakes", record.handshakes[s])
+                .put("list_calls", record.listCalls[s]).put("list_calls_turned_away", record.listTurnedAway[s])
+                .put("connections_of_the_fullest", record.fullest[s])
+                .put("part_of_what_topples", round(record.coldest[s]));
         }
         ObjectNode load = root.putObject("held_a_core");
         for (int i = 0; i < record.load.size(); i++) {
--- a/src/main/java/gatefront/rehearsal/Shrink.java
+++ b/src/main/java/gatefront/rehearsal/Shrink.java
@@ -70,8 +70,8 @@
             for (int target : each.targets()) {
                 names.add(prefix + (target + 1));
             }
-            frozen.add(new Fault(each.fault().kind(), fixed(each.at() / 1e6), fixed(each.lasts() / 1e6),
-                each.fault().share(), names, fixed(each.size()), fixed(each.every() / 1e6)));
+            frozen.add(each.fault().frozen(fixed(each.at() / 1e6), fixed(each.lasts() / 1e6), names,
+                fixed(each.size()), fixed(each.every() / 1e6), fixed(each.spread() / 1e6)));
         }
         return frozen;
     }
@@ -120,8 +120,8 @@
                     List<String> names = new ArrayList<>(fault.names());
                     names.remove(name);
                     List<Fault> fewer = new ArrayList<>(smallest.faults());
-                    fewer.set(i, new Fault(fault.kind(), fault.at(), fault.lasts(), fault.share(), names,
-                        fault.size(), fault.every()));
+                    fewer.set(i, fault.frozen(fault.at(), fault.lasts(), names, fault.size(), fault.every(),
+                        fault.spread()));
                     smallest = keep(smallest, smallest.with(fewer), fault.kind().word() + " of " + name);
                 }
             }
--- a/src/main/java/gatefront/rehearsal/Timetable.java
+++ b/src/main/java/gatefront/rehearsal/Timetable.java
@@ -30,15 +30,18 @@
             || kind == Fault.Kind.LEAVE || kind == Fault.Kind.AGENT_RESTART ? trouble.at() + SECOND : trouble.until());
         switch (kind.whom()) {
             case NODOS -> {
-                for (int target : trouble.targets()) {
-                    day.at(opensAt + trouble.at(), () -> begin(trouble, day.nodos.get(target)));
-                    day.at(opensAt + trouble.until(), () -> end(trouble, day.nodos.get(target)));
+                for (int i = 0; i < trouble.targets().length; i++) {
+                    int target = trouble.targets()[i];
+                    long at = opensAt + trouble.at() + trouble.later(i);
+                    day.at(at, () -> begin(trouble, day.nodos.get(target)));
+                    day.at(at + trouble.lasts(), () -> end(trouble, day.nodos.get(target)));
                 }
             }
             case AGENTS -> {
                 for (int i = 0; i < trouble.targets().length; i++) {
                     AgentStand agent = day.agents.get(trouble.targets()[i]);
-                    long apart = kind == Fault.Kind.AGENT_RESTART ? i * trouble.lasts() : 0;
+                    long apart = kind == Fault.Kind.AGENT_RESTART ? i * trouble.lasts()
+                        : trouble.later(i);
                     day.at(opensAt + trouble.at() + apart, () -> agent(trouble, agent));
                 }
                 if (kind == Fault.Kind.AGENT_RELOAD) {
--- a/src/main/java/gatefront/rehearsal/plan/Fault.java
+++ b/src/main/java/gatefront/rehearsal/plan/Fault.java
@@ -14,11 +14,25 @@
  * @param names those it meets, instead of a share; may be empty
  * @param size how bad: a factor or a part, by kind
  * @param every for what comes and goes, how long each of both takes, in seconds
+ * @param zone the one sala whose nodos or agents it meets, or -1 for all
+ * @param spread over how many seconds those that it meets are met, one after the other
  */
-public record Fault(Kind kind, Range at, Range lasts, double share, List<String> names, Range size, Range every) {
+public record Fault(Kind kind, Range at, Range lasts, double share, List<String> names, Range size, Range every,
+                    int zone, Range spread) {
+    /** One that meets all salas, and those that it meets at once. */
+    public Fault(Kind kind, Range at, Range lasts, double share, List<String> names, Range size, Range every) {
+        this(kind, at, lasts, share, names, size, every, -1, new Range(0, 0));
+    }
+
+    /** The same with these figures, for those of these names. */
+    public Fault frozen(Range begins, Range takes, List<String> those, Range how, Range often, Range over) {
+        return new Fault(kind, begins, takes, share, those, how, often, zone, over);
+    }
+
     /** The same, beginning at this second at the latest. */
     Fault until(double seconds) {
-        return new Fault(kind, new Range(at.low(), Math.min(at.high(), seconds)), lasts, share, names, size, every);
+        return new Fault(kind, new Range(at.low(), Math.min(at.high(), seconds)), lasts, share, names, size, every,
+            zone, spread);
     }
 
     /** What may go wrong. */
--- a/src/main/java/gatefront/rehearsal/plan/Plan.java
+++ b/src/main/java/gatefront/rehearsal/plan/Plan.java
@@ -43,8 +43,8 @@
     /** What the rules say. */
     public record Rules(double slackMs, double drainMs, double fallMultiple, double fallSeconds, int maxAttempts) { }
 
-    /** How late the padrón tells. */
-    public record Registry(Range noticeSeconds) { }
+    /** How late the padrón tells, and how many calls a second it can take; 0 for any number. */
+    public record Registry(Range noticeSeconds, double callsPerSecond) { }
 
     /** The callers. */
     public record Callers(double rate, int retries, double backoffMs, double honour, Range tryShare,
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -20,7 +20,8 @@
 /** Reads plans. Whatever is wrong is one line, and nothing is played. */
 public final class PlanReader {
     /** The plans that come with the jar. */
-    public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large");
+    public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large", "fleet-herd",
+        "fleet-zone", "fleet-join");
     /** What may be spoken between callers, agents and nodos. */
     public static final List<String> PROTOCOLS = List.of("http", "framed-binary", "framed-compact", "unframed-binary",
         "unframed-compact");
@@ -82,8 +83,9 @@
         Plan.Agents agents = agents(top.table("agents"));
         Plan.Nodos nodos = nodos(top.table("nodos"));
         Plan.Rules rules = rules(top.table("rules"));
-        Plan.Registry padron = new Plan.Registry(
-            top.table("padron").range("notice_s", new Range(0.5, 2), 0, 60));
+        Table list = top.table("padron");
+        Plan.Registry padron = new Plan.Registry(list.range("notice_s", new Range(0.5, 2), 0, 60),
+            list.number("calls_s", 0.0, 0, 1e6));
         List<Plan.Kind> classes = classes(top);
         Plan.Callers callers = callers(top.table("callers"), classes);
         List<Plan.Tenant> tenants = new ArrayList<>();
@@ -93,7 +95,7 @@
         distinct(top, "tenants", tenants.stream().map(Plan.Tenant::name).toList());
         List<Fault> faults = new ArrayList<>();
         for (Table each : top.tables("faults")) {
-            faults.add(fault(each, seconds, agents.count(), nodos.count()));
+            faults.add(fault(each, seconds, agents.count(), nodos.count(), zones));
         }
         top.finish();
         return new Plan(name, seconds, zones, byWork, network, agents, nodos, rules, padron, callers, classes,
@@ -180,7 +182,8 @@
         return List.copyOf(classes);
     }
 
-    private static Fault fault(Table t, double seconds, int agents, int nodos) throws TomlException {
+    private static Fault fault(Table t, double seconds, int agents, int nodos, List<String> zones)
+            throws TomlException {
         List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
         String word = t.word("kind", null, words);
         Fault.Kind kind = Fault.Kind.values()[words.indexOf(word)];
@@ -204,7 +207,20 @@
         if ((kind == Fault.Kind.SLOW || kind == Fault.Kind.JUMP) && size.low() <= 0) {
             throw t.bad("size", "is a factor for " + word + ", above 0");
         }
-        return new Fault(kind, at, t.range("for_s", new Range(10, 10), 0, 86_400), t.number("share", 0.25, 0, 1),
-            names, size, kind == Fault.Kind.TAKEN ? t.range("every_s", new Range(2, 4), 0.1, 3600) : new Range(1, 1));
+        for (String key : List.of("zone", "spread_s")) {
+            if (t.has(key) && (kind.whom() == Fault.Kind.Whom.NOBODY || kind == Fault.Kind.AGENT_RESTART
+                    && key.equals("spread_s"))) {
+                throw t.bad(key, "means nothing for " + word
+                    + (kind == Fault.Kind.AGENT_RESTART ? ": for_s says how far apart" : ": it meets all"));
+            }
+        }
+        if (t.has("zone") && t.has("names")) {
+            throw t.bad("zone", "cannot stand beside names, which tell already whom it meets");
+        }
+        int zone = t.has("zone") ? zones.indexOf(t.word("zone", null, zones)) : -1;
+        return new Fault(kind, at, t.range("for_s", new Range(10, 10), 0, 86_400),
+            t.number("share", zone < 0 ? 0.25 : 1, 0, 1), names, size,
+            kind == Fault.Kind.TAKEN ? t.range("every_s", new Range(2, 4), 0.1, 3600) : new Range(1, 1), zone,
+            t.range("spread_s", new Range(0, 0), 0, 3600));
     }
 }
--- a/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
@@ -45,6 +45,7 @@
         put("max_attempts", p.rules().maxAttempts());
         out.append("\n[padron]\n");
         put("notice_s", p.padron().noticeSeconds());
+        put("calls_s", p.padron().callsPerSecond());
         out.append("\n[callers]\n");
         put("rate", p.callers().rate());
         put("retries", p.callers().retries());
@@ -60,7 +61,7 @@
             put("name", quoted(each.name()));
             put("share", each.share());
         }
-        p.faults().forEach(this::fault);
+        p.faults().forEach(each -> fault(each, p.zones()));
     }
 
     private void nodos(Plan.Nodos n) {
@@ -106,19 +107,25 @@
         put("worth", k.worth());
     }
 
-    private void fault(Fault f) {
+    private void fault(Fault f, List<String> zones) {
         out.append("\n[[faults]]\n");
         put("kind", quoted(f.kind().word()));
         put("at_s", f.at());
         put("for_s", f.lasts());
         if (f.kind().whom() != Fault.Kind.Whom.NOBODY && f.names().isEmpty()) {
             put("share", f.share());
+            if (f.zone() >= 0) {
+                put("zone", quoted(zones.get(f.zone())));
+            }
         } else if (f.kind().whom() != Fault.Kind.Whom.NOBODY) {
             put("names", list(f.names()));
         }
         if (f.kind().sized()) {
             put("size", f.size());
         }
+        if (f.spread().high() > 0) {
+            put("spread_s", f.spread());
+        }
         if (f.kind() == Fault.Kind.TAKEN) {
             put("every_s", f.every());
         }
--- a/src/main/java/gatefront/rehearsal/world/NodoModel.java
+++ b/src/main/java/gatefront/rehearsal/world/NodoModel.java
@@ -149,6 +149,11 @@
         return overStated;
     }
 
+    /** The part of what topples it, by the stated figures, that it was sent lately; 0 while warm. */
+    public double pressed() {
+        return cold(at) ? statedPressure / (machine.fallMultiple * stated(at) * machine.fallMicros) : 0;
+    }
+
     /** Work that each agent has sent while it was cold. */
     public Map<Integer, Double> coldWork() {
         return coldWork;
--- /dev/null
+++ b/src/test/java/gatefront/rehearsal/FleetRehearsalTest.java
@@ -0,0 +1,49 @@
+package gatefront.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.rehearsal.plan.PlanReader;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+
+/** 14 agents and 60 nodos: the three troubles of a large fleet, each with bounds that the code before them broke. */
+class FleetRehearsalTest {
+    private static Outcome play(String plan, double seconds) throws Exception {
+        Outcome outcome = new Rehearsal(PlanReader.builtIn(plan).withSeconds(seconds), 3).play();
+        assertEquals(0, outcome.broken(), () -> outcome.breaches().toString());
+        return outcome;
+    }
+
+    private static int served(Outcome outcome, int firstNodo, int step, int from, int until) {
+        int sum = 0;
+        for (int i = firstNodo; i < outcome.record().served.size(); i += step) {
+            sum += Arrays.stream(outcome.record().served.get(i), from, until).sum();
+        }
+        return sum;
+    }
+
+    @Test
+    void aSalaThatComesBackColdIsUsedFromItsFirstSeconds() throws Exception {
+        Outcome outcome = play("fleet-zone", 22);
+        int back = served(outcome, 1, 2, 14, 20); // the nodos with even numbers stand in sala-norte
+        assertTrue(back > 350, "served there " + back + "; 94 before");
+    }
+
+    @Test
+    void newNodosAreUsedFromTheirFirstSeconds() throws Exception {
+        Outcome outcome = play("fleet-join", 22);
+        int fresh = served(outcome, 60, 1, 8, 18);
+        assertTrue(fresh > 1_150, "served there " + fresh + "; 884 before");
+    }
+
+    @Test
+    void agentsKilledTogetherAreBackThoughThePadronIsOverbooked() throws Exception {
+        Outcome outcome = play("fleet-herd", 20);
+        int turnedAway = Arrays.stream(outcome.record().listTurnedAway).sum();
+        int calls = Arrays.stream(outcome.record().listCalls).sum();
+        assertTrue(turnedAway > 0, "the padrón is overbooked");
+        assertTrue(calls < 650, calls + " calls for the list; 759 before");
+        assertTrue(outcome.service() > 0.85, "service " + outcome.service());
+    }
+}
--- a/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
+++ b/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
@@ -19,7 +19,7 @@
     private Path dir;
 
     @ParameterizedTest
-    @ValueSource(strings = {"cashier-rush", "calm", "rough", "large"})
+    @ValueSource(strings = {"cashier-rush", "calm", "rough", "large", "fleet-herd", "fleet-zone", "fleet-join"})
     void theBuiltInPlansAreReadAndComeBackFromWhatIsWritten(String name) throws Exception {
         Plan plan = PlanReader.builtIn(name);
         assertEquals(name, plan.name());
@@ -49,6 +49,11 @@
         "aim_ms = 400 | aim_ms = 4000 | classes.1.aim_ms: is later than give_up_ms, when nobody waits any more",
         "name = \"etla\" | name = \"zaachila\" | tenants: \"zaachila\" stands there twice",
         "size = [0.4, 0.9] | size = [0.4, 9] | faults.3.size: is a part for fail, from 0 to 1",
+        "kind = \"jump\" | kind = \"jump\"~zone = \"sala-norte\" | zone: means nothing for jump: it meets all",
+        "names = [\"nodo-2\"] | zone = \"sala-nort\" | faults.5.zone: \"sala-nort\" is none of sala-centro, "
+            + "sala-norte; is \"sala-norte\" meant?",
+        "names = [\"nodo-2\"] | spread_s = -1 | faults.5.spread_s: -1 is not within 0 to 3600",
+        "[padron] | [padron]~calls_s = -1 | padron.calls_s: -1 is not within 0 to 1000000",
         "marks = 1 | marks = 1 | name: is missing; it is a name in quotes",
         "worth_by = \"work\" | worth_by = \"wrk\" | worth_by: \"wrk\" is none of request, work; is \"work\" meant?",
         "[padron] | [padrón] | is not TOML"
@@ -57,14 +62,14 @@
         String text = PlanReader.builtInText("cashier-rush");
         boolean mark = right.equals("marks = 1");
         assertTrue(mark || text.contains(right), "the plan has that line");
-        String broken = mark ? text.replaceFirst("name = \"cashier-rush\"\n", "") : text.replace(right, wrong);
+        String broken = mark ? text.replaceFirst("name = \"cashier-rush\"\n", "") : text.replace(right, wrong.replace('~', '\n'));
         String said = assertThrows(TomlException.class, () -> PlanReader.parse("plan.toml", broken)).getMessage();
         assertEquals(1, said.lines().count(), said);
         assertTrue(said.contains(message), said);
         assertTrue(said.matches("plan\\.toml:[0-9]+: .*"), said);
         int line = Integer.parseInt(said.split(":")[1]);
         if (!wrong.startsWith("#") && !mark && !message.startsWith("tenants")) {
-            assertTrue(broken.lines().toList().get(line - 1).contains(wrong.replaceAll("^\\[padr.*", "[padr")), said);
+            assertTrue(broken.lines().toList().get(line - 1).contains(wrong.substring(wrong.indexOf('~') + 1).replaceAll("^\\[padr.*", "[padr")), said);
         }
     }
 
