--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -601,7 +601,7 @@
             learnTime(req, target, spent, now);
             req.state.served++;
         } else if (outcome == Outcome.TIMEOUT) {
-            learnCold(req, target, spent, now);
+            learnCold(req, target, spent, coldStretch, now); // it would have taken longer yet
         } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             if (target.failuresInRow > 0) { // one alone may be a full table of connections
                 broke(target, now);
@@ -683,7 +683,7 @@
     private void learnTime(Open req, Target target, long spent, long now) {
         ClassState state = req.state;
         double heavy = heavy(req);
-        learnCold(req, target, spent, now);
+        learnCold(req, target, spent, 0, now);
         double ratio = state.typical == 0 ? 1 : Math.min(STRETCH_MAX, spent / (state.typical * heavy));
         double before = stretch(target, now);
         target.stretch = before + STRETCH_BLEND * (ratio - before);
@@ -703,10 +703,10 @@
     }
 
     /** What an answer from a cold server, or none in time, says of the warmth of all. */
-    private void learnCold(Open req, Target target, long spent, long now) {
+    private void learnCold(Open req, Target target, long spent, double least, long now) {
         if (cold(target, now) && req.state.typical > 0) {
             double part = spent * surely(target, now) / (req.state.typical * heavy(req));
-            coldStretch += BLEND / 2 * (Math.min(1, part) - coldStretch);
+            coldStretch += BLEND / 2 * (Math.max(least, Math.min(1, part)) - coldStretch);
         }
     }
 
--- a/src/test/java/gatefront/rehearsal/check/RuleCheckerTest.java
+++ b/src/test/java/gatefront/rehearsal/check/RuleCheckerTest.java
@@ -197,6 +197,27 @@
         broken(Rule.NO_EFFECT_TWICE, "has happened 2 times");
     }
 
+    /** Found by seed 449 of the rough plan: a repeat lay before a machine that was cut off, and ran when that was back. */
+    @Test
+    void aRepeatSentWellWithinItsWindowThatComesLateIsNotTheAgentsFault() {
+        checker.taken(0, "r", ALL, 0, 9_000_000);
+        ended(20, sent(10, 0, 0), Ending.LOST);
+        checker.effect(20_000, "r", 0);
+        ended(500, sent(100, 1, 0), Ending.ABANDONED);
+        checker.effect(2_600_000, "r", 1);
+        kept();
+    }
+
+    @Test
+    void aRepeatSentAtTheEndOfItsWindowThatRunsIsTheAgentsFault() {
+        checker.taken(0, "r", ALL, 0, 9_000_000);
+        ended(20, sent(10, 0, 0), Ending.LOST);
+        checker.effect(20_000, "r", 0);
+        ended(1_990, sent(1_800, 1, 0), Ending.ABANDONED);
+        checker.effect(2_020_000, "r", 1);
+        broken(Rule.NO_EFFECT_TWICE, "has happened 2 times");
+    }
+
     @Test
     void aSendAfterTheGraceOfADrainIsCaughtAndAReadyNodoIsFree() {
         taken(SAFE);
