Server list: a version that goes back and an answer to nothing are not believed

For an index that goes back there was no code: changes of another history (a padron started from an older copy) were applied to the list. Two answers in one segment were both taken, the second for that to the call not yet made.

Discovery.answered now asks for the whole list when a change's version is lower than ours; an answer while no call is out ends the connection. In the connect listener the call's number was looked at twice, which drop and failed do; gone.

--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -80,6 +80,7 @@
     private boolean closed;
     /** Numbers the calls: what belongs to an earlier one is disregarded. */
     private int call;
+    /** Of the call that is out; null while none is. */
     private Future<?> timeout;
     /** Agents that fail together must not come back together. */
     private final SplittableRandom jitter;
@@ -139,15 +140,20 @@
 
     private void drop() {
         call++;
-        if (timeout != null) {
-            timeout.cancel(false);
-        }
+        over();
         if (channel != null) {
             channel.close();
             channel = null;
         }
     }
 
+    private void over() {
+        if (timeout != null) {
+            timeout.cancel(false);
+            timeout = null;
+        }
+    }
+
     private void next(long delayMs) {
         int mine = ++call;
         loop.schedule(() -> {
@@ -167,9 +173,9 @@
         ChannelFuture connecting = bootstrap.connect(address);
         channel = connecting.channel();
         connecting.addListener(done -> {
-            if (mine == call && done.isSuccess()) {
-                write(mine);
-            } else if (mine == call) {
+            if (done.isSuccess()) {
+                write(mine); // that of a call given up is closed before it can come up
+            } else {
                 failed(mine, "no connection");
             }
         });
@@ -206,7 +212,7 @@
     }
 
     private void answered(FullHttpResponse response) {
-        timeout.cancel(false);
+        over();
         if (response.decoderResult().isFailure() || response.status().code() != 200) {
             failed(call, "answer " + response.status().code(), response.status().code() == 503
                 ? Math.max(BACKOFF_MOST_MS, config.settings().obligations().askWithin() / 1000 / OVERBOOKED_PART)
@@ -223,6 +229,12 @@
             failed(call, "unusable list: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
             return;
         }
+        if (!listing.snapshot() && listing.index() < index) {
+            // Guards against changes of another history, as after a restart from an older copy: the whole is asked for.
+            index = -1;
+            failed(call, "the list's version went back to " + listing.index());
+            return;
+        }
         index = listing.index();
         backoff = Math.max(BACKOFF_LEAST_MS, backoff / 2); // one answer does not end the crowd
         if (!HttpUtil.isKeepAlive(response)) {
@@ -265,8 +277,10 @@
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() == channel) {
+            if (ctx.channel() == channel && timeout != null) {
                 answered(response);
+            } else {
+                ctx.close(); // an answer to nothing: what follows it would be taken for that to the next call
             }
         }
 
--- a/src/test/java/gatefront/agent/AgentTest.java
+++ b/src/test/java/gatefront/agent/AgentTest.java
@@ -342,6 +342,26 @@
         assertEquals(200, stage.call("lookup").status());
     }
 
+    /** The known list is older than the last replacement: what the padrón's own list has no more leaves nothing. */
+    @Test
+    void whatOnlyTheKnownListHasIsForgottenWithTheFirstWholeList() throws Exception {
+        Peer replaced = stage.server(SERVES);
+        Peer server = new Peer(SERVES);
+        stage.servers.add(server);
+        Peer padron = stage.peer((message, socket) -> {
+            if (!message.target().contains("since")) {
+                Peer.answer(socket, 200, "", "{\"index\":7,\"snapshot\":true,\"endpoints\":["
+                    + Stage.endpoint(2, server.address(), "Ready") + "]}");
+            }
+        });
+        stage.config.put("discovery", padron.address());
+        stage.start();
+        Stage.await(() -> padron.requests.stream().anyMatch(each -> each.target().contains("since=7&")));
+        assertEquals(200, stage.call("order").status());
+        assertEquals(List.of(0, 1), List.of(replaced.requests.size(), server.requests.size()));
+        assertEquals(1, stage.agent.kept());
+    }
+
     @Test
     void afterAFailedOrBrokenCallTheListIsFollowedOn() throws Exception {
         Peer server = new Peer(SERVES);
