--- a/src/test/java/gatefront/connection/UpstreamContract.java
+++ b/src/test/java/gatefront/connection/UpstreamContract.java
@@ -346,6 +346,38 @@
         assertEquals(0, upstream.size());
     }
 
+    /** A server that has another address is reached there, and not over what leads to the old one. */
+    @Test
+    public void aNodoListedAtAnotherAddressIsReachedThere() throws Exception {
+        assertEquals(Outcome.OK, result().outcome());
+        Host before = nodo;
+        nodo = host("elsewhere", 3);
+        listen();
+        list(Balancer.Phase.READY);
+        before.kill();
+        assertEquals(Outcome.OK, result().outcome());
+        assertEquals(2, accepted);
+    }
+
+    /** Another server at the address of one that has gone gets connections of its own; the old ones are closed. */
+    @Test
+    public void anAddressTakenOverByAnotherNodoIsDialledAnew() {
+        assertEquals(Outcome.OK, result().outcome());
+        assertEquals(0, ended);
+        upstream.gone(SERVER);
+        run(10);
+        assertEquals(1, ended);
+        upstream.listed(new Endpoint(new Balancer.Server(SERVER + 1, 0, 0, 0, Balancer.Phase.READY, 1, 0), "other",
+            nodo.at(NODO_PORT)));
+        upstream.send(SERVER + 1, call(), 1_000_000, results::add);
+        run(1_000);
+        assertEquals(Outcome.OK, results.get(1).outcome());
+        assertEquals(2, accepted);
+        attempt(1_000);
+        run(10);
+        assertEquals(Outcome.NEVER_SENT, results.get(2).outcome(), "nothing goes to the one that has left");
+    }
+
     /** What is out when the drain is told ends as it would, and its connection is not kept. */
     @Test
     public void whatIsOutWhenADrainIsToldIsFinished() {
--- a/src/test/java/gatefront/policy/ColdFleetTest.java
+++ b/src/test/java/gatefront/policy/ColdFleetTest.java
@@ -1,5 +1,6 @@
 package gatefront.policy;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gatefront.policy.Balancer.ListKind;
@@ -35,12 +36,23 @@
 
     /** Lets requests come evenly for so many seconds, each attempt answered after that time. */
     private static void live(Hand hand, double seconds, long answer) {
+        live(hand, seconds, answer, DEMAND);
+    }
+
+    private static void live(Hand hand, double seconds, long answer, int demand) {
+        live(hand, seconds, answer, demand, 0);
+    }
+
+    private static void live(Hand hand, double seconds, long answer, int demand, int repeats) {
         long until = hand.now + (long) (seconds * Hand.SECOND);
         List<Hand.Act> out = new ArrayList<>();
         int seen = hand.acts.size();
         while (hand.now < until) {
             hand.request();
-            for (long next = hand.now + Hand.SECOND / DEMAND; hand.now < next;) {
+            for (int i = 0; i < repeats; i++) {
+                hand.repeat();
+            }
+            for (long next = hand.now + Hand.SECOND / demand; hand.now < next;) {
                 hand.pass(Hand.TICK);
                 for (; seen < hand.acts.size(); seen++) {
                     Hand.Act act = hand.acts.get(seen);
@@ -64,8 +76,8 @@
     }
 
     /**
-     * An agent that has just started knows of no warm server's rate. Failed before: it sent 5 / 14 a second, times the part that
-     * is warm, to each server of a zone that had come back with it: 2 of 60 requests were served.
+     * An agent that has just started knows of no warm server's rate. Failed before: it sent 5 / 14 a second, times the
+     * part that is warm, to each server of a zone that had come back with it: 15 of 120 requests.
      */
     @Test
     void anAgentThatStartsWithItsColdZoneUsesIt() {
@@ -89,17 +101,28 @@
         assertTrue(sent > 20, "sent " + sent);
     }
 
-    /** Rule 4 where the demand is 0.7 of the capacity: three times what is surely warm, over a second, is never reached. */
+    /** Rule 4 where the demand is 0.7 of the capacity: three times what is surely warm is never reached. */
     @Test
     void allAgentsTogetherStayUnderWhatTopplesAColdServer() {
-        double capacity = AGENTS * DEMAND / 0.7 / SERVERS;
+        together(DEMAND, DEMAND);
+    }
+
+    /** The same where one agent has ten times another's requests. */
+    @Test
+    void soTheyDoWhereOneHasTenTimesAnothersRequests() {
+        together(10 * DEMAND, DEMAND);
+    }
+
+    private static void together(int first, int others) {
+        double capacity = (first + (AGENTS - 1) * others) / 0.7 / SERVERS;
         long[] sent = new long[SERVERS + 1];
         for (int agent = 0; agent < AGENTS; agent++) {
+            int demand = agent == 0 ? first : others;
             Hand hand = hand(agent, 1).full(servers(1, SERVERS, 0, 0));
-            live(hand, 5, 50_000);
+            live(hand, 5, 50_000, demand);
             hand.full(servers(1, SERVERS, 0, hand.now));
             int before = hand.all("send").size();
-            live(hand, 1, 50_000);
+            live(hand, 1, 50_000, demand);
             hand.all("send").stream().skip(before).forEach(act -> sent[(int) act.server()]++);
         }
         for (long each : sent) {
@@ -128,9 +151,7 @@
     private static Hand reporting(int agents) {
         var s = Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
             new Permits(4, false, true, false, false, 0), 1, agents);
-        return new Hand(new Balancer.Settings(s.agent(), s.agents(), s.zone(), s.zones(), s.tick(), s.askDiscovery(),
-            s.warmKeys(), s.listedWeights(), s.worthByWork(), s.overQuotaWorth(), s.permits(), s.obligations(),
-            s.prices(), s.goal(), s.classes(), s.tenants(), List.of(Balancer.LoadField.QUEUED)), 7);
+        return new Hand(Hand.with(s, s.prices(), s.obligations(), Balancer.LoadField.QUEUED), 7);
     }
 
     /** The same requests to cold servers, whose answers report so many waiting. */
@@ -168,11 +189,123 @@
             for (int i = 0; i < 20; i++) {
                 hand.request();
             }
-            most[busy] = hand.acts.stream().filter(act -> act.what().equals("send") && act.id() > 150).mapToInt(act -> 1).sum();
+            most[busy] = (int) hand.all("send").stream().filter(act -> act.id() > 150).count();
         }
         assertTrue(most[1] < most[0], most[0] + " and " + most[1]);
     }
 
+    /** However well it keeps up, its room ends: a report is late, and the agents have it alike. */
+    @Test
+    void theRoomOfAColdServerThatKeepsUpIsBounded() {
+        var s = Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(4, false, true, false, false, 0), 1, 1);
+        double surely = 0.02;
+        Hand hand = new Hand(Hand.with(s, s.prices(), new Balancer.Obligations(20_000, 500_000, surely,
+            10_000 * Hand.SECOND, 3, Hand.SECOND, 10 * Hand.SECOND), Balancer.LoadField.QUEUED), 7);
+        hand.report = new double[] {0};
+        hand.full(servers(1, 4, 0, 0));
+        int demand = 200; // one for each tick
+        live(hand, 3, 10_000, demand);
+        hand.full(servers(1, 4, 0, hand.now));
+        live(hand, 10, 10_000, demand);
+        int before = hand.all("send").size();
+        live(hand, 5, 10_000, demand);
+        int sent = hand.all("send").size() - before;
+        double most = 5 * demand * surely * 4;
+        assertTrue(sent > most / 2 && sent <= 1.2 * most, sent + " where " + most + " may be");
+    }
+
+    /** Failed before: a client's repeats counted as demand, and the budget grew with the trouble. */
+    @Test
+    void repeatsOfClientsMakeNoRoom() {
+        int[] sent = new int[2];
+        for (int repeats = 0; repeats < 2; repeats++) {
+            Hand hand = hand(7, 1).full(servers(1, SERVERS, 0, 0));
+            live(hand, 5, 50_000);
+            hand.full(servers(1, SERVERS, 0, hand.now));
+            int before = hand.all("send").size();
+            live(hand, 3, 20_000, DEMAND, 5 * repeats);
+            sent[repeats] = hand.all("send").size() - before;
+        }
+        assertTrue(sent[0] > DEMAND && sent[1] < 2 * sent[0], sent[0] + " without and " + sent[1] + " with repeats");
+    }
+
+    /** Attempts at cold servers that end by time after so long, then whether one that needs long is sent there. */
+    private static boolean sentAfterTimeOutsOf(long... spent) {
+        var types = List.of(Hand.type(Semantics.SAFE, Scope.ALL), Hand.type(Semantics.SAFE, Scope.ALL));
+        Hand hand = new Hand(Hand.settings(types, new Permits(1, false, true, false, false, 0), 1, 1), 7)
+            .full(Hand.server(1, 0));
+        for (int i = 0; i < 40; i++) {
+            for (int type = 0; type < 2; type++) {
+                long id = hand.request(type, 0);
+                hand.end(id, 0, Outcome.OK, type == 0 ? 20_000 : 450_000);
+                hand.pass(10_000);
+            }
+        }
+        hand.full(servers(101, 300, 0, hand.now));
+        hand.pass(spent.length == 0 ? Hand.SECOND / 2 : 0);
+        for (long each : spent) {
+            int ended = 0;
+            for (int i = 0; i < 300; i++) {
+                long id = hand.request(0, 0);
+                if (hand.target(id) > 100) {
+                    hand.end(id, 0, Outcome.TIMEOUT, each);
+                    ended++;
+                }
+                hand.pass(Hand.TICK);
+            }
+            assertTrue(ended > 40, "time-outs " + ended);
+        }
+        hand.pass(Hand.SECOND); // what rests for its time-outs has rested, and there is room again
+        return hand.target(hand.request(1, 0)) > 100;
+    }
+
+    /**
+     * An attempt that ends by time would have taken longer: however soon that was, cold servers are none the quicker.
+     * Failed before: attempts sent late in a request's time made them seem so.
+     */
+    @Test
+    void attemptsThatEndByTimeShowColdServersSlowAndNeverQuick() {
+        assertTrue(sentAfterTimeOutsOf(), "what is hoped of them: 1 s of work at a fifth, halved");
+        assertFalse(sentAfterTimeOutsOf(900_000), "slow as they are");
+        assertFalse(sentAfterTimeOutsOf(900_000, 1_000), "and none the quicker");
+    }
+
+    /** Where the load is told to probes only, they tell of cold servers, too. */
+    @Test
+    void reportsOfProbesCountAsThoseOfAnswers() {
+        int[] sent = new int[2];
+        for (int queued = 0; queued < 2; queued++) {
+            Hand hand = reporting(AGENTS);
+            live(hand, 5, 50_000);
+            hand.full(servers(1, SERVERS, 0, hand.now));
+            for (int i = 0; i < 8; i++) {
+                for (int server = 1; server <= SERVERS; server++) {
+                    hand.balancer.probed(hand.now, server, Outcome.OK, 1_000, new double[] {3 * queued});
+                }
+            }
+            int before = hand.all("send").size();
+            live(hand, 3, 50_000);
+            sent[queued] = hand.all("send").size() - before;
+        }
+        assertTrue(sent[0] > 1.3 * sent[1], sent[0] + " and " + sent[1]);
+    }
+
+    /** Its listed weight is its part: where weights differ, so does what is sent to it while cold. */
+    @Test
+    void aColdServerOfTwiceTheWeightGetsTwiceAsMuch() {
+        Hand hand = hand(7, 1);
+        Server[] list = new Server[SERVERS];
+        for (int i = 0; i < SERVERS; i++) {
+            list[i] = new Server(i + 1, 0, 0, 0, Phase.READY, i < SERVERS / 2 ? 1 : 4, hand.now);
+        }
+        hand.full(list);
+        live(hand, 5, 20_000, 4 * DEMAND);
+        long heavy = sentFrom(hand, SERVERS / 2 + 1);
+        long light = sentFrom(hand, 1) - heavy;
+        assertTrue(heavy > 1.8 * light, heavy + " and " + light);
+    }
+
     /** Weights that make no sense come from a socket. */
     @Test
     void weightsThatMakeNoSenseStarveNobody() {
--- a/src/test/java/gatefront/policy/Hand.java
+++ b/src/test/java/gatefront/policy/Hand.java
@@ -70,6 +70,13 @@
             new Prices(0.2, 0.01, 0.05, 0.05, 0.01), new Goal(0.6, 0.2, 0.2, 0), classes, tenants, List.of());
     }
 
+    /** The same with other prices, rules on cold servers, and fields that servers report. */
+    static Settings with(Settings s, Prices prices, Obligations obligations, Balancer.LoadField... fields) {
+        return new Settings(s.agent(), s.agents(), s.zone(), s.zones(), s.tick(), s.askDiscovery(), s.warmKeys(),
+            s.listedWeights(), s.worthByWork(), s.overQuotaWorth(), s.permits(), obligations, prices, s.goal(),
+            s.classes(), s.tenants(), List.of(fields));
+    }
+
     static Server server(long id, int zone) {
         return new Server(id, zone, zone, 0, Phase.READY, 1, 0);
     }
@@ -99,6 +106,13 @@
         return id;
     }
 
+    /** A client's repeat, marked as one. */
+    long repeat() {
+        long id = nextId++;
+        balancer.request(now, new Request(id, 0, 0, 0, 0, now + 3 * SECOND, true, false));
+        return id;
+    }
+
     void end(long id, int attempt, Outcome outcome, long spent) {
         balancer.outcome(now, id, attempt, sends(id).get(attempt).server(), outcome, spent,
             outcome == Outcome.OK, report);
--- a/src/test/java/gatefront/policy/MechanismTest.java
+++ b/src/test/java/gatefront/policy/MechanismTest.java
@@ -79,6 +79,27 @@
         }
     }
 
+    /** Failed before: probes came as often whatever they cost. */
+    @Test
+    void probesAreTheRarerTheMoreTheyCost() {
+        int[] probes = new int[2];
+        for (int dear = 0; dear < 2; dear++) {
+            var s = Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+                new Permits(4, false, true, true, false, 0), 1, 1);
+            Hand hand = new Hand(Hand.with(s, new Balancer.Prices(0.2, dear == 0 ? 0.01 : 0.12, 0.05, 0.05, 0.01),
+                s.obligations())).full(Hand.server(1, 0), Hand.server(2, 0));
+            for (int i = 0; i < 6000; i++) {
+                int before = hand.all("probe").size();
+                hand.pass(Hand.TICK);
+                hand.all("probe").stream().skip(before).toList().forEach(probe ->
+                    hand.balancer.probed(hand.now, probe.server(), Outcome.OK, 1000, NO_LOAD));
+            }
+            probes[dear] = hand.all("probe").size();
+        }
+        assertTrue(probes[0] >= 48 && probes[0] <= 72, "30 s, two servers, one a second each: " + probes[0]);
+        assertTrue(probes[1] >= 14 && probes[1] <= 27, "a third of it at three times the price: " + probes[1]);
+    }
+
     @Test
     void noProbesWhereTheHostPermitsNone() {
         Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
@@ -572,6 +593,60 @@
         assertTrue(!first.contains(hand.target(id)) && hand.target(id) > 0);
     }
 
+    /** Those that a subset loses are replaced in its probes as well: else nobody looks after what it draws from. */
+    @Test
+    void theNextOnesAreProbedWhereASubsetIsWhollyBad() {
+        Server[] list = new Server[40];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Hand.server(i + 1, 0);
+        }
+        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(4, false, true, true, false, 0), 1, 400)).full(list);
+        for (int i = 0; i < 200_000 && hand.all("probe").size() < 30; i++) {
+            int before = hand.all("probe").size();
+            hand.pass(20 * Hand.TICK);
+            hand.all("probe").stream().skip(before).toList().forEach(probe ->
+                hand.balancer.probed(hand.now, probe.server(), Outcome.CONNECT_FAILED, SECOND, NO_LOAD));
+        }
+        long probed = hand.all("probe").stream().map(Hand.Act::server).distinct().count();
+        assertTrue(probed > 3, "probed " + probed);
+    }
+
+    /** A full table of connections refuses while the server serves those it has: no restart, and a rest for all. */
+    @Test
+    void aRefusedConnectionRestsTheServerForEveryClassAndIsNoRestart() {
+        var types = List.of(Hand.type(Semantics.SAFE, Scope.ALL), Hand.type(Semantics.SAFE, Scope.ALL));
+        Hand hand = new Hand(Hand.settings(types, new Permits(4, false, true, false, false, 0), 1, 2))
+            .full(Hand.server(1, 0));
+        for (int i = 0; i < 20; i++) {
+            hand.serve(100_000);
+        }
+        long refused = hand.request();
+        hand.end(refused, 0, Outcome.CONNECT_FAILED, 1_000);
+        assertEquals(-1, hand.target(hand.request(1, 0)), "the other class waits, too");
+        hand.pass(SECOND);
+        assertEquals(1, hand.target(hand.request(1, 0)));
+        hand.pass(SECOND);
+        hand.serve(100_000);
+        assertTrue(!hand.logged("cold"), String.join("; ", hand.lines));
+    }
+
+    /** Failed before (in a first draft): one that came back was taken for idle while requests were out there. */
+    @Test
+    void aServerThatComesBackWhileRequestsAreOutThereIsKnown() {
+        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(4, false, true, false, false, 0), 1, 2)).full(Hand.server(1, 0));
+        for (int i = 0; i < 3; i++) {
+            hand.request();
+        }
+        assertEquals(3, hand.all("send").size());
+        hand.full(Hand.server(2, 0));
+        hand.full(Hand.server(1, 0), Hand.server(2, 0));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(2, hand.target(hand.request()), "the less busy");
+        }
+    }
+
     @Test
     void ofTwoWithAsManyInFlightTheOneWithShorterAnswersIsTakenMoreOften() {
         Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
--- a/src/test/java/gatefront/rehearsal/FaultsTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultsTest.java
@@ -122,6 +122,25 @@
         assertTrue(held(outcome, 15, 10, 18) > 0, "and it is used");
     }
 
+    /** Those of one sala, and one after the other. */
+    @Test
+    void aSalaIsReplacedOneNodoAfterTheOther() throws Exception {
+        Outcome outcome = play(new Fault(Kind.REPLACE, at(4), at(1), 1, List.of(), at(1), at(1), 1, at(8)));
+        int sala = 7; // of 14 nodos in two salas: those with even numbers
+        for (int nodo = 1; nodo <= 2 * sala; nodo++) {
+            assertEquals(nodo % 2 == 0, held(outcome, nodo, 14, 18) < 0, "nodo-" + nodo);
+        }
+        assertEquals(3 * sala, outcome.record().nodoNames.size());
+        long early = outcome.cast().nodos().size() + starts(outcome, 8);
+        assertTrue(early < 3 * sala && early > 2 * sala, early + " started by the middle of the time");
+    }
+
+    /** How many nodos beyond the first ones have run by this second. */
+    private static long starts(Outcome outcome, int second) {
+        return java.util.stream.IntStream.range(14, outcome.record().load.size())
+            .filter(i -> outcome.record().load.get(i)[second] >= 0).count();
+    }
+
     @Test
     void aJumpBringsMoreTries() throws Exception {
         Outcome outcome = play(fault(Kind.JUMP, 5, 5, 2));
