A decision looks no further than its subset; a load report is taken in by its name

Rules.draw went on through the whole list once its subset was full, and listed.contains made a list cost the square of its length. Rules.queued changed what it seemed only to read: it is report. The stand-in padron's bucket no longer runs where there is no bound; where nodos and agents stand is told in one place.

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -316,7 +316,7 @@
         ended.outcome = outcome;
         ended.target.inFlight--;
         forget(ended.target);
-        learn(req, ended.target, outcome, spent, queued(ended.target, load, now), now);
+        learn(req, ended.target, outcome, spent, report(ended.target, load, now), now);
         if (closed) {
             close(req);
         }
@@ -506,8 +506,9 @@
         double room = 0;
         int out = 0;
         int left = keyed(req) ? listed.size() : spread(where == 1 ? SUBSET_LEAST : SUBSET_FAR, now);
-        for (Target target : listed) {
-            if (left > 0 && target.ready && (!healthy || available(req, target, now))
+        for (int at = 0; at < listed.size() && left > 0; at++) {
+            Target target = listed.get(at);
+            if (target.ready && (!healthy || available(req, target, now))
                     && (where < 0 || (target.listed.zone() == settings.zone()) == (where == 1))) {
                 left--;
                 room += target.limit - target.inFlight;
@@ -643,8 +644,8 @@
         }
     }
 
-    /** Requests that wait at a server for each listed core, by its report, or a negative number. */
-    private double queued(Target target, double[] load, long now) {
+    /** Takes in a load report; returns how many requests wait for each listed core, negative if it does not tell. */
+    private double report(Target target, double[] load, long now) {
         int at = settings.loadFields().indexOf(LoadField.QUEUED);
         double queued = at < 0 || load.length <= at ? -1 : load[at] / target.weight();
         if (queued >= 0 && cold(target, now)) {
@@ -826,7 +827,7 @@
             return;
         }
         target.probeOut = false;
-        queued(target, load, now);
+        report(target, load, now);
         if (outcome == Outcome.NEVER_SENT) {
             return; // says nothing about the server
         }
@@ -904,8 +905,7 @@
     // more often the better it keeps up by its own reports. What it gets answered elsewhere says nothing to an agent
     // that has just started, nor where a whole zone is cold.
     private double coldBudget(Target target, long now) {
-        double perSecond = demand(now) * target.weight() / weights * surely(target, now)
-            * target.coldRoom;
+        double perSecond = demand(now) * target.weight() / weights * surely(target, now) * target.coldRoom;
         double most = 1 + perSecond * COLD_BURST * settings.obligations().overloadTime() / SECOND;
         target.coldTokens = Math.min(most, target.coldTokens + perSecond * (now - target.coldAt) / SECOND);
         target.coldAt = now;
@@ -970,10 +970,10 @@
         }
         Target target = targets.computeIfAbsent(entry.id(), id -> new Target(id, classes.size()));
         Server before = target.listed;
-        target.gone = false;
-        if (!listed.contains(target)) {
+        if (before == null || target.gone) {
             listed.add(target);
         }
+        target.gone = false;
         target.listed = entry;
         boolean ready = entry.phase() == Phase.READY;
         if (before != null && target.ready != ready) {
--- a/src/main/java/gatefront/rehearsal/Cast.java
+++ b/src/main/java/gatefront/rehearsal/Cast.java
@@ -55,7 +55,7 @@
         int[] zones = new int[agents];
         double[] shares = new double[agents];
         for (int i = 0; i < agents; i++) {
-            zones[i] = i % plan.zones().size();
+            zones[i] = zone(plan, i);
             shares[i] = 1 / StrictMath.pow(i + 1, plan.agents().skew());
         }
         return new Cast(nodos(plan, new Draw(seed, "nodos")), List.copyOf(kinds), zones, shares,
@@ -75,7 +75,7 @@
         int[] kinds = dealt(shares, told.count(), draw);
         int nextCell = 0;
         for (int i = 0; i < told.count(); i++) {
-            int zone = i % plan.zones().size();
+            int zone = zone(plan, i);
             if (left[zone] == 0) {
                 left[zone] = (int) StrictMath.rint(told.bloque().draw(draw::between));
                 cells[zone] = nextCell++;
@@ -136,7 +136,7 @@
                 case NOBODY -> 0;
             };
             troubles.add(new Trouble(fault, (long) (1e6 * fault.at().draw(draw::between)),
-                (long) (1e6 * fault.lasts().draw(draw::between)), targets(fault, most, plan.zones().size(), draw),
+                (long) (1e6 * fault.lasts().draw(draw::between)), targets(plan, fault, most, draw),
                 fault.size().draw(draw::between), (long) (1e6 * fault.every().draw(draw::between)),
                 (long) (1e6 * fault.spread().draw(draw::between))));
         }
@@ -144,13 +144,17 @@
         return List.copyOf(troubles);
     }
 
-    private static int[] targets(Fault fault, int count, int zones, Draw draw) {
+    /** Nodos and agents stand in the salas in turn. */
+    private static int zone(Plan plan, int number) {
+        return number % plan.zones().size();
+    }
+
+    private static int[] targets(Plan plan, Fault fault, int count, Draw draw) {
         if (!fault.names().isEmpty()) {
             return fault.names().stream()
                 .mapToInt(name -> Integer.parseInt(name.substring(name.indexOf('-') + 1)) - 1).toArray();
         }
-        // Nodos and agents stand in the salas in turn.
-        int[] all = IntStream.range(0, count).filter(i -> fault.zone() < 0 || i % zones == fault.zone()).toArray();
+        int[] all = IntStream.range(0, count).filter(i -> fault.zone() < 0 || zone(plan, i) == fault.zone()).toArray();
         int most = all.length;
         int n = most == 0 || fault.share() == 0 ? 0
             : Math.max(1, (int) StrictMath.rint(fault.share() * most));
--- a/src/main/java/gatefront/rehearsal/PadronStand.java
+++ b/src/main/java/gatefront/rehearsal/PadronStand.java
@@ -186,9 +186,12 @@
     /** Whether this call is one more than it can take. */
     private boolean overbooked() {
         double most = day.plan.padron().callsPerSecond();
+        if (most == 0) {
+            return false;
+        }
         room = Math.min(Math.max(1, most), room + most * (day.now() - roomAt) / 1e6);
         roomAt = day.now();
-        if (most > 0 && room < 1) {
+        if (room < 1) {
             day.record.listTurnedAway(day.now());
             return true;
         }
