--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -53,6 +53,8 @@
     private final Engine engine;
     private final HttpUpstream backends;
     private final Discovery discovery;
+    /** Makes one list of several sources; null where the padrón is the only one. */
+    private final Sources sources;
     private final HttpFront clients;
     /** All of them, that over HTTP first. */
     private final List<Front> fronts = new ArrayList<>();
@@ -65,7 +67,8 @@
     private boolean warm;
     private int warmedBy;
 
-    private Agent(Config config, ThriftSettings thrift, Transport transport, Function<Engine, Balancer> module) {
+    private Agent(Config config, Extensions extensions, Transport transport, Function<Engine, Balancer> module) {
+        ThriftSettings thrift = extensions.thrift();
         this.config = config;
         this.transport = transport;
         loop = transport.loop();
@@ -77,8 +80,12 @@
         discovery = new Discovery(transport, config, new Discovery.Listener() {
             @Override
             public void list(Balancer.ListKind kind, List<Endpoint> endpoints) {
-                listed = true;
-                engine.servers(kind, endpoints);
+                if (sources != null) {
+                    sources.padron(kind, endpoints);
+                } else {
+                    listed = true;
+                    engine.servers(kind, endpoints);
+                }
             }
 
             @Override
@@ -93,14 +100,20 @@
         engine = new Engine(transport, config.settings(), config.seed(), upstreams, new Engine.Source() {
             @Override
             public void watch() {
-                discovery.watch();
+                if (asksPadron()) {
+                    discovery.watch();
+                }
             }
 
             @Override
             public void fetch() {
-                discovery.fetch();
+                if (asksPadron()) {
+                    discovery.fetch();
+                }
             }
         }, module);
+        sources = extensions.registry() == null ? null
+            : new Sources(transport, config, extensions.registry(), engine, () -> listed = true);
         clients = new HttpFront(transport, config, each, this::ready, engine.through(backends));
         fronts.add(clients);
         if (thrift != null) {
@@ -119,7 +132,7 @@
      */
     public static Agent start(Path config, Path extensions) throws IOException {
         Config read = Config.read(config);
-        return start(read, (extensions == null ? Extensions.NONE : Extensions.read(extensions, read)).thrift());
+        return start(read, extensions == null ? Extensions.NONE : Extensions.read(extensions, read), Engine::usual);
     }
 
     static Agent start(Config config) throws IOException {
@@ -128,23 +141,24 @@
 
     /** With another module than the usual one. */
     static Agent start(Config config, Function<Engine, Balancer> module) throws IOException {
-        return start(config, (ThriftSettings) null, module);
+        return start(config, Extensions.NONE, module);
     }
 
-    /** With Thrift besides, where settings for it are given. */
-    static Agent start(Config config, ThriftSettings thrift) throws IOException {
-        return start(config, thrift, Engine::usual);
+    /** With what an installation has besides. */
+    static Agent start(Config config, Extensions extensions) throws IOException {
+        return start(config, extensions, Engine::usual);
     }
 
-    private static Agent start(Config config, ThriftSettings thrift, Function<Engine, Balancer> module)
+    private static Agent start(Config config, Extensions extensions, Function<Engine, Balancer> module)
             throws IOException {
         SocketTransport sockets = new SocketTransport();
-        Agent agent = new Agent(config, thrift, sockets, module);
+        Agent agent = new Agent(config, extensions, sockets, module);
         for (Front each : agent.fronts) {
             ChannelFuture bound = each.listen().awaitUninterruptibly();
             if (!bound.isSuccess()) {
                 sockets.close(() -> { });
-                throw new IOException("cannot listen on " + (each == agent.clients ? config.listen() : thrift.listen())
+                throw new IOException("cannot listen on " + (each == agent.clients ? config.listen()
+                    : extensions.thrift().listen())
                     + ": " + bound.cause().getMessage());
             }
         }
@@ -156,14 +170,14 @@
      * Starts an agent on a given loop and network and returns at once; called on that loop.
      *
      * @param config its configuration
-     * @param thrift how it speaks Thrift, or null if it does not
+     * @param extensions what it does besides
      * @param transport its loop, clock and network
      * @param module makes its decision module
      * @return the agent, about to listen
      */
-    public static Agent start(Config config, ThriftSettings thrift, Transport transport,
+    public static Agent start(Config config, Extensions extensions, Transport transport,
                               Function<Engine, Balancer> module) {
-        Agent agent = new Agent(config, thrift, transport, module);
+        Agent agent = new Agent(config, extensions, transport, module);
         int[] waiting = {agent.fronts.size()};
         agent.fronts.forEach(each -> each.listen().addListener(done -> {
             if (done.isSuccess() && --waiting[0] == 0) {
@@ -183,8 +197,13 @@
             say("known list: " + e.getMessage());
             known = new Discovery.Listing(0, true, List.of());
         }
-        engine.servers(Balancer.ListKind.CACHED, known.endpoints());
-        if (!config.settings().askDiscovery()) {
+        if (sources == null) {
+            engine.servers(Balancer.ListKind.CACHED, known.endpoints());
+        } else {
+            sources.padron(Balancer.ListKind.CACHED, known.endpoints());
+            sources.start();
+        }
+        if (!config.settings().askDiscovery() && asksPadron()) {
             discovery.watch();
         }
         loop.schedule(() -> listed = true, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
@@ -194,6 +213,10 @@
         });
     }
 
+    private boolean asksPadron() {
+        return sources == null || sources.padron();
+    }
+
     /** {@link #ready()} from any thread. */
     boolean isReady() {
         try {
@@ -232,7 +255,10 @@
         try {
             loop.execute(() -> {
                 try {
-                    discovery.moveTo(from.get().discovery());
+                    Config read = from.get();
+                    if (asksPadron()) {
+                        discovery.moveTo(read.discovery());
+                    }
                 } catch (IllegalArgumentException e) {
                     say("reload: the old settings stay: " + e.getMessage());
                 }
@@ -291,6 +317,9 @@
         if (fronts.stream().allMatch(Front::isEmpty)) {
             fronts.forEach(Front::stopListening);
             discovery.close();
+            if (sources != null) {
+                sources.close();
+            }
             transport.close(() -> {
                 ended.countDown();
                 whenEnded.run();
--- a/src/main/java/gatefront/agent/Extensions.java
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -1,6 +1,7 @@
 package gatefront.agent;
 
 import gatefront.config.Config;
+import gatefront.registry.RegistrySettings;
 import gatefront.thrift.ThriftSettings;
 import gatefront.thrift.ThriftSettings.Method;
 import gatefront.thrift.codec.Encoding;
@@ -19,10 +20,11 @@
  * reader loaded, only where one is named.
  *
  * @param thrift how the agent speaks Thrift, or null if it does not
+ * @param registry which registry it follows, or null if none
  */
-public record Extensions(ThriftSettings thrift) {
+public record Extensions(ThriftSettings thrift, RegistrySettings registry) {
     /** None. */
-    public static final Extensions NONE = new Extensions(null);
+    public static final Extensions NONE = new Extensions(null, null);
     private static final int PORT_MOST = 65_535;
     private static final Map<String, Encoding> ENCODINGS = Map.of("binary", Encoding.BINARY, "binary-old",
         Encoding.BINARY_OLD, "compact", Encoding.COMPACT);
@@ -47,8 +49,9 @@
         Table top = TomlFile.parse(file, text);
         Table table = top.table("thrift");
         ThriftSettings thrift = top.has("thrift") ? thrift(table, config) : null;
+        RegistrySettings registry = top.has("registry") ? RegistryTable.read(top.table("registry")) : null;
         top.finish();
-        return new Extensions(thrift);
+        return new Extensions(thrift, registry);
     }
 
     private static ThriftSettings thrift(Table table, Config config) throws TomlException {
--- /dev/null
+++ b/src/main/java/gatefront/agent/Sources.java
@@ -0,0 +1,92 @@
+package gatefront.agent;
+
+import gatefront.config.Config;
+import gatefront.engine.Engine;
+import gatefront.membership.Endpoint;
+import gatefront.membership.Membership;
+import gatefront.membership.Policy;
+import gatefront.policy.Balancer.ListKind;
+import gatefront.registry.RegistryFeed;
+import gatefront.registry.RegistrySettings;
+import gatefront.transport.Transport;
+import java.util.List;
+import java.util.Map;
+
+/** Makes one list for the engine where there are more sources than the padrón; not loaded where there are none. */
+final class Sources {
+    private static final int PADRON = 0;
+
+    private final Engine engine;
+    private final Membership membership;
+    private final RegistryFeed registry;
+    private final boolean padron;
+    private final Runnable listed;
+
+    /**
+     * Sources that are not yet followed.
+     *
+     * @param listed told when one of them has said what there is
+     */
+    Sources(Transport transport, Config config, RegistrySettings settings, Engine engine, Runnable listed) {
+        this.engine = engine;
+        this.listed = listed;
+        this.padron = !settings.instead();
+        this.membership = new Membership(padron ? List.of("padrón", "registry") : List.of("registry"), transport::log);
+        int place = padron ? PADRON + 1 : 0;
+        this.registry = new RegistryFeed(transport, config, settings, new RegistryFeed.Listener() {
+            @Override
+            public void list(ListKind kind, List<Endpoint> endpoints) {
+                told(place, kind, endpoints);
+            }
+
+            @Override
+            public void policies(Map<String, Policy> servers, Map<Integer, Policy> zones) {
+                changed(membership.policies(servers, zones));
+            }
+        });
+    }
+
+    /** Whether the padrón is one of them. */
+    boolean padron() {
+        return padron;
+    }
+
+    /** Begins to follow the registry; what is known from elsewhere has been told before. */
+    void start() {
+        registry.start();
+    }
+
+    void close() {
+        registry.close();
+    }
+
+    /**
+     * The padrón has told something, or the configuration has what it told once. Where the registry stands instead of
+     * it, that is what the registry's first list replaces.
+     */
+    void padron(ListKind kind, List<Endpoint> endpoints) {
+        if (kind == ListKind.FAILED) {
+            engine.servers(kind, endpoints);
+        } else {
+            told(PADRON, kind, endpoints);
+        }
+    }
+
+    private void told(int source, ListKind kind, List<Endpoint> endpoints) {
+        List<Endpoint> changed = membership.told(source, kind, endpoints);
+        if (kind == ListKind.DELTA) {
+            changed(changed);
+        } else {
+            engine.servers(kind, membership.all());
+        }
+        if (kind != ListKind.CACHED) {
+            listed.run();
+        }
+    }
+
+    private void changed(List<Endpoint> endpoints) {
+        if (!endpoints.isEmpty()) {
+            engine.servers(ListKind.DELTA, endpoints);
+        }
+    }
+}
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -21,12 +21,13 @@
           rehearse [PLAN]  play a day with real agents against stand-ins, and report; see rehearse --help
           demo             an agent with stand-in nodos on loopback, and a line to try
           plan [PLAN]      print a built-in plan, or check a plan file
+          registry         print what a registry holds and how it changes; see registry watch --help
           serve            run as an agent, as the configuration in $RELAY_CONFIG says, and the file of our own
                            in $GATEFRONT_EXTENSIONS, where one is named
           drill            decide for the simulator: frames on standard input, replies on standard output
           --help           show this text""";
 
-    private static final Set<String> COMMANDS = Set.of("rehearse", "demo", "plan");
+    private static final Set<String> COMMANDS = Set.of("rehearse", "demo", "plan", "registry");
 
     private Main() { }
 
--- a/src/main/java/gatefront/membership/Endpoint.java
+++ b/src/main/java/gatefront/membership/Endpoint.java
@@ -1,5 +1,6 @@
 package gatefront.membership;
 
+import gatefront.policy.Balancer.Phase;
 import gatefront.policy.Balancer.Server;
 import java.net.InetSocketAddress;
 
@@ -10,4 +11,15 @@
  * @param name the same at every agent
  * @param address where this agent reaches it
  */
-public record Endpoint(Server server, String name, InetSocketAddress address) { }
+public record Endpoint(Server server, String name, InetSocketAddress address) {
+    /** The same server, which has left. */
+    public Endpoint gone() {
+        return with(Phase.GONE, server.weight(), server.startedAt());
+    }
+
+    /** The same server in another state. */
+    public Endpoint with(Phase phase, double weight, long startedAt) {
+        return new Endpoint(new Server(server.id(), server.zone(), server.cell(), server.kind(), phase, weight,
+            startedAt), name, address);
+    }
+}
--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -2,11 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import gatefront.config.Config;
+import gatefront.config.EndpointForm;
 import gatefront.http.codec.Decoders;
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer.ListKind;
-import gatefront.policy.Balancer.Phase;
-import gatefront.policy.Balancer.Server;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
@@ -254,21 +253,7 @@
         }
         List<Endpoint> endpoints = new ArrayList<>();
         for (JsonNode entry : root.get("endpoints")) {
-            String name = entry.path("name").asText();
-            int zone = config.zones().indexOf(entry.path("zone").asText());
-            if (name.isEmpty() || zone < 0) {
-                throw new IllegalArgumentException("name or zone of a server: " + entry);
-            }
-            Phase phase = switch (entry.path("status").asText()) {
-                case "Ready" -> Phase.READY;
-                case "Terminating" -> Phase.DRAINING;
-                case "Gone" -> Phase.GONE;
-                default -> throw new IllegalArgumentException("status of a server: " + entry);
-            };
-            endpoints.add(new Endpoint(new Server(Config.id(name), zone, entry.path("group").asInt(),
-                config.kinds().indexOf(entry.path("type").asText()), phase, entry.path("weight").asDouble(1),
-                1000 * entry.path("since_ms").asLong()), name,
-                Config.address(entry.path("address").asText())));
+            endpoints.add(EndpointForm.decode(entry, null, config));
         }
         return new Listing(root.get("index").asLong(), root.path("snapshot").asBoolean(), endpoints);
     }
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.agent.Extensions;
 import gatefront.policy.Balancer.Semantics;
 import gatefront.rehearsal.net.Machine;
 import gatefront.rehearsal.plan.Plan;
@@ -39,6 +40,11 @@
         return machine().at(THRIFT_PORT);
     }
 
+    /** What it does besides. */
+    final Extensions besides() {
+        return new Extensions(thrift(), day.padron.registry(number));
+    }
+
     /** How it speaks Thrift, or null if it does not. */
     ThriftSettings thrift() {
         if (day.form == null) {
--- a/src/main/java/gatefront/rehearsal/PadronStand.java
+++ b/src/main/java/gatefront/rehearsal/PadronStand.java
@@ -1,10 +1,18 @@
 package gatefront.rehearsal;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.config.Config;
+import gatefront.registry.RegistrySettings;
+import gatefront.registry.follower.Bounds;
 import gatefront.rehearsal.net.Machine;
+import gatefront.rehearsal.registry.ConsulStand;
+import gatefront.rehearsal.registry.EtcdStand;
+import gatefront.rehearsal.registry.RegistryStand;
 import gatefront.rehearsal.world.Draw;
+import gatefront.rehearsal.world.KeyValues;
 import gatefront.rehearsal.world.Padron;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -21,6 +29,9 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -37,6 +48,11 @@
  */
 final class PadronStand {
     private static final int FIRST_PORT = 8500;
+    private static final int MEMBERS = 3;
+    private static final int MEMBER_PORT = 2379;
+    private static final String PREFIX = "oaxaca/";
+    /** After the registry's return: the longest back-off, a dial, and the read or the watch. */
+    private static final long TOLD_WITHIN = 1_500_000;
     /** The old address closes what is open after this. */
     private static final long MOVE_MICROS = 1_500_000;
 
@@ -49,8 +65,17 @@
     /** By agent, the nodos that it was told of and that have not gone since. */
     private final Map<Integer, Set<Integer>> toldOf = new HashMap<>();
     private final List<Channel> listening = new ArrayList<>();
+    /** Where a registry stands for the padrón: the members that each agent has of its own, and what they all hold. */
+    private final List<List<RegistryStand>> registries = new ArrayList<>();
+    private final KeyValues keys = new KeyValues(1);
+    private final RegistrySettings.Kind kind;
+    /** Members are down, so that nothing can be told; and how often that was so. */
+    private boolean down;
+    private int downs;
     private int port = FIRST_PORT;
     private boolean silent;
+    /** When it last began to speak again. */
+    private long spokenSince;
     /** Calls that it can take now: as many as come in a second, at the most. */
     private double room;
     private long roomAt;
@@ -58,6 +83,11 @@
     PadronStand(Day day) {
         this.day = day;
         this.draw = day.draw("padron");
+        this.kind = switch (day.plan.padron().source()) {
+            case "etcd" -> RegistrySettings.Kind.ETCD;
+            case "consul" -> RegistrySettings.Kind.CONSUL;
+            default -> null;
+        };
         for (int i = 0; i < day.plan.agents().count(); i++) {
             machines.add(day.machines.make("padron-" + (i + 1), day.addresses.of(2, i), 0, 1 << 30, line -> { }));
         }
@@ -85,6 +115,101 @@
             day.listens(bound, machine.name());
             listening.add(bound.channel());
         }
+        if (kind != null && registries.isEmpty()) {
+            for (int i = 0; i < machines.size(); i++) {
+                registries.add(members(i));
+            }
+        }
+    }
+
+    private List<RegistryStand> members(int agent) {
+        Machine machine = machines.get(agent);
+        List<RegistryStand> members = new ArrayList<>();
+        for (int i = 0; i < MEMBERS; i++) {
+            RegistryStand member = kind == RegistrySettings.Kind.ETCD
+                ? new EtcdStand(machine.transport(), () -> keys) : new ConsulStand(machine.transport(), () -> keys);
+            member.telling((whole, values) -> {
+                List<Padron.Entry> entries = new ArrayList<>();
+                values.forEach((key, value) -> entries.add(entry(key, value)));
+                told(agent, new Padron.Listing(keys.revision(), whole, entries));
+            });
+            day.listens(member.listen(machine.at(MEMBER_PORT + i)), machine.name());
+            members.add(member);
+        }
+        return members;
+    }
+
+    /** How an agent follows the registry; null where there is none. */
+    RegistrySettings registry(int agent) {
+        if (kind == null) {
+            return null;
+        }
+        List<InetSocketAddress> members = new ArrayList<>();
+        for (int i = 0; i < MEMBERS; i++) {
+            members.add(machines.get(agent).at(MEMBER_PORT + i));
+        }
+        boolean etcd = kind == RegistrySettings.Kind.ETCD;
+        return RegistrySettings.of(kind, members, PREFIX, new Bounds(50_000, 1_000_000, etcd ? 0 : 60_000,
+            etcd ? 2_000_000 : 0, 8_000_000, 30_000_000, 600_000_000, 20_000));
+    }
+
+    /** All members go down or come back; then each agent that runs is to know all within the stated time. */
+    void registryDown(boolean now) {
+        down = now;
+        downs++;
+        for (int i = 0; i < registries.size(); i++) {
+            for (int j = 0; j < MEMBERS; j++) {
+                registries.get(i).get(j).down(now, machines.get(i).at(MEMBER_PORT + j));
+            }
+        }
+        if (!now) {
+            int mine = downs;
+            long upTo = keys.revision();
+            long since = day.now();
+            for (AgentStand each : day.agents) {
+                int process = each.processes();
+                day.at(day.now() + TOLD_WITHIN, () -> {
+                    if (downs == mine && !silent && spokenSince <= since && each.processes() == process && each.ready()
+                            && toldUpTo(each.number) < upTo) {
+                        day.checker.left(day.now(), each.name() + " knows revision " + toldUpTo(each.number)
+                            + " of " + upTo + " so long after the registry's return");
+                    }
+                });
+            }
+        }
+    }
+
+    private long toldUpTo(int agent) {
+        return registries.get(agent).stream().mapToLong(RegistryStand::toldUpTo).max().orElse(0);
+    }
+
+    /** The registry forgets what changed before now. */
+    void compact() {
+        keys.compact(keys.revision());
+    }
+
+    private void news() {
+        List.copyOf(open).forEach(Asking::news);
+        registries.forEach(each -> each.forEach(RegistryStand::news));
+    }
+
+    private void put(Padron.Entry entry) {
+        padron.put(entry);
+        keys.put(PREFIX + "nodos/" + entry.name(), json(entry).toString());
+    }
+
+    private Padron.Entry entry(String key, String value) {
+        String name = key.substring((PREFIX + "nodos/").length());
+        if (value == null) {
+            return new Padron.Entry(name, "", 0, "", 0, Padron.Status.GONE, 1, 0);
+        }
+        try {
+            JsonNode read = Config.json(new ByteArrayInputStream(value.getBytes(StandardCharsets.UTF_8)));
+            return new Padron.Entry(name, "", 0, "", 0, read.path("status").asText().equals("Ready")
+                ? Padron.Status.READY : Padron.Status.TERMINATING, 1, read.path("since_ms").asLong());
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // written by us
+        }
     }
 
     /** Listens elsewhere; the old address takes nothing new and soon closes what is open. */
@@ -104,6 +229,8 @@
     /** From now on it answers nothing, or again. */
     void silent(boolean now) {
         silent = now;
+        spokenSince = day.now();
+        registries.forEach(each -> each.forEach(member -> member.silent(now)));
         if (!silent) {
             List.copyOf(open).forEach(Asking::news);
         }
@@ -111,7 +238,7 @@
 
     /** Lists a nodo at once, as it does before the day begins. */
     void list(NodoStand nodo, long sinceMillis) {
-        padron.put(new Padron.Entry(nodo.name(), nodo.address(), nodo.spec().zone(), nodo.spec().kind(),
+        put(new Padron.Entry(nodo.name(), nodo.address(), nodo.spec().zone(), nodo.spec().kind(),
             nodo.spec().cell(), Padron.Status.READY, nodo.spec().weight(), sinceMillis));
     }
 
@@ -119,12 +246,20 @@
     void learns(Runnable change) {
         day.at(day.now() + (long) (1e6 * day.plan.padron().noticeSeconds().draw(draw::between)), () -> {
             change.run();
-            List.copyOf(open).forEach(Asking::news);
+            news();
         });
     }
 
     void learnsStatus(NodoStand nodo, Padron.Status status) {
-        learns(() -> padron.put(nodo.name(), status));
+        learns(() -> {
+            padron.put(nodo.name(), status);
+            if (status == Padron.Status.GONE) {
+                keys.delete(PREFIX + "nodos/" + nodo.name());
+            } else {
+                padron.whole().entries().stream().filter(each -> each.name().equals(nodo.name())).forEach(each ->
+                    keys.put(PREFIX + "nodos/" + nodo.name(), json(each).toString()));
+            }
+        });
     }
 
     void learnsStart(NodoStand nodo) {
@@ -142,14 +277,17 @@
         root.put("index", listing.index()).put("snapshot", listing.whole());
         ArrayNode entries = root.putArray("endpoints");
         for (Padron.Entry each : listing.entries()) {
-            entries.addObject().put("name", each.name()).put("address", each.address())
-                .put("zone", day.plan.zones().get(each.zone())).put("type", each.kind()).put("group", each.cell())
-                .put("status", each.status().word()).put("weight", each.weight())
-                .put("since_ms", each.sinceMillis());
+            entries.add(json(each));
         }
         return root;
     }
 
+    private ObjectNode json(Padron.Entry each) {
+        return JsonNodeFactory.instance.objectNode().put("name", each.name()).put("address", each.address())
+            .put("zone", day.plan.zones().get(each.zone())).put("type", each.kind()).put("group", each.cell())
+            .put("status", each.status().word()).put("weight", each.weight()).put("since_ms", each.sinceMillis());
+    }
+
     /** An agent has ended and knows nothing; it will start with what is listed now. */
     void forgot(int agent) {
         day.checker.forgot(agent);
--- a/src/main/java/gatefront/rehearsal/ProcessAgent.java
+++ b/src/main/java/gatefront/rehearsal/ProcessAgent.java
@@ -1,5 +1,6 @@
 package gatefront.rehearsal;
 
+import gatefront.registry.RegistrySettings;
 import gatefront.rehearsal.net.Machine;
 import gatefront.transport.Transport;
 import io.netty.channel.Channel;
@@ -13,7 +14,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /** An agent in a process of its own, as in service, on loopback sockets. */
 final class ProcessAgent extends AgentStand {
@@ -95,7 +98,7 @@
             Files.writeString(file, config().toString());
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.environment().put("RELAY_CONFIG", file.toString());
-            if (day.form != null) {
+            if (day.form != null || day.padron.registry(number) != null) {
                 Path extensions = Files.writeString(file.resolveSibling(name() + ".toml"), extensions());
                 builder.environment().put("GATEFRONT_EXTENSIONS", extensions.toString());
             }
@@ -115,8 +118,21 @@
         reader.start();
     }
 
-    /** {@link #thrift()} as the agent's file has it. */
+    /** {@link #besides()} as the agent's file has it. */
     private String extensions() {
+        return (day.form == null ? "" : thriftTable()) + (day.padron.registry(number) == null ? "" : registryTable());
+    }
+
+    private String registryTable() {
+        RegistrySettings settings = day.padron.registry(number);
+        String members = settings.endpoints().stream()
+            .map(each -> '"' + each.getAddress().getHostAddress() + ":" + each.getPort() + '"')
+            .collect(Collectors.joining(", "));
+        return "\n[registry]\nkind = \"" + settings.kind().name().toLowerCase(Locale.ROOT) + "\"\nendpoints = ["
+            + members + "]\nprefix = \"" + settings.prefix() + "\"\npadron = \"instead\"\n";
+    }
+
+    private String thriftTable() {
         InetSocketAddress at = thriftAddress();
         StringBuilder text = new StringBuilder("[thrift]\nlisten = \"" + at.getAddress().getHostAddress() + ":"
             + at.getPort() + "\"\nnodo_port = " + NodoStand.THRIFT_PORT + "\nnodo_framed = " + day.form.framed()
--- a/src/main/java/gatefront/rehearsal/Timetable.java
+++ b/src/main/java/gatefront/rehearsal/Timetable.java
@@ -2,6 +2,8 @@
 
 import gatefront.rehearsal.plan.Fault;
 import gatefront.rehearsal.world.Padron;
+import java.util.EnumSet;
+import java.util.Set;
 
 /** Carries out what goes wrong on a day. */
 final class Timetable {
@@ -9,6 +11,9 @@
     /** SIGKILL comes so long after SIGTERM: the longest deadline at the most, and then some. */
     private static final long KILL_AFTER = 700_000;
     private static final long REPLACED_AFTER = 1_000;
+    /** What happens at a moment, and is shown for a second. */
+    private static final Set<Fault.Kind> MOMENTS = EnumSet.of(Fault.Kind.REPLACE, Fault.Kind.AGENT_RELOAD,
+        Fault.Kind.REGISTRY_COMPACT, Fault.Kind.LEAVE, Fault.Kind.AGENT_RESTART);
 
     private final Day day;
     private final long opensAt;
@@ -26,8 +31,7 @@
 
     private void schedule(Cast.Trouble trouble) {
         Fault.Kind kind = trouble.fault().kind();
-        day.record.band(kind.word(), trouble.at(), kind == Fault.Kind.REPLACE || kind == Fault.Kind.AGENT_RELOAD
-            || kind == Fault.Kind.LEAVE || kind == Fault.Kind.AGENT_RESTART ? trouble.at() + SECOND : trouble.until());
+        day.record.band(kind.word(), trouble.at(), MOMENTS.contains(kind) ? trouble.at() + SECOND : trouble.until());
         switch (kind.whom()) {
             case NODOS -> {
                 for (int i = 0; i < trouble.targets().length; i++) {
@@ -52,6 +56,11 @@
                 if (kind == Fault.Kind.PADRON_SILENT) {
                     day.at(opensAt + trouble.at(), () -> day.padron.silent(true));
                     day.at(opensAt + trouble.until(), () -> day.padron.silent(false));
+                } else if (kind == Fault.Kind.REGISTRY_DOWN) {
+                    day.at(opensAt + trouble.at(), () -> day.padron.registryDown(true));
+                    day.at(opensAt + trouble.until(), () -> day.padron.registryDown(false));
+                } else if (kind == Fault.Kind.REGISTRY_COMPACT) {
+                    day.at(opensAt + trouble.at(), day.padron::compact);
                 } // a jump is in the demand
             }
         }
--- a/src/main/java/gatefront/rehearsal/VirtualAgent.java
+++ b/src/main/java/gatefront/rehearsal/VirtualAgent.java
@@ -35,7 +35,7 @@
         if (!machine.running()) {
             machine.boot();
         }
-        Agent mine = Agent.start(Config.of(config()), thrift(), outside.apply(machine.transport()), module);
+        Agent mine = Agent.start(Config.of(config()), besides(), outside.apply(machine.transport()), module);
         agent = mine;
         mine.whenEnded(() -> {
             if (agent == mine) {
--- a/src/main/java/gatefront/rehearsal/plan/Fault.java
+++ b/src/main/java/gatefront/rehearsal/plan/Fault.java
@@ -61,6 +61,10 @@
         JUMP(Whom.NOBODY, true),
         /** The padrón answers nothing. */
         PADRON_SILENT(Whom.NOBODY, false),
+        /** All members of the registry are down for the time. */
+        REGISTRY_DOWN(Whom.NOBODY, false),
+        /** The registry forgets what changed before. */
+        REGISTRY_COMPACT(Whom.NOBODY, false),
         /** Agents are killed outright and start again after the time. */
         AGENT_KILL(Whom.AGENTS, false),
         /** Agents get SIGTERM, one after the other so far apart, and start again when they have ended. */
@@ -89,6 +93,11 @@
             return sized;
         }
 
+        /** Whether it needs a registry to happen to. */
+        public boolean ofRegistry() {
+            return this == REGISTRY_DOWN || this == REGISTRY_COMPACT;
+        }
+
         /** As it stands in a plan. */
         public String word() {
             return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/gatefront/rehearsal/plan/Plan.java
+++ b/src/main/java/gatefront/rehearsal/plan/Plan.java
@@ -43,8 +43,8 @@
     /** What the rules say. */
     public record Rules(double slackMs, double drainMs, double fallMultiple, double fallSeconds, int maxAttempts) { }
 
-    /** How late the padrón tells, and how many calls a second it can take; 0 for any number. */
-    public record Registry(Range noticeSeconds, double callsPerSecond) { }
+    /** How late the padrón tells, how many calls a second it can take (0 for any number), and what stands for it. */
+    public record Registry(Range noticeSeconds, double callsPerSecond, String source) { }
 
     /** The callers. */
     public record Callers(double rate, int retries, double backoffMs, double honour, Range tryShare,
@@ -71,6 +71,12 @@
             faults);
     }
 
+    /** The same day with another source of the server list. */
+    public Plan withSource(String source) {
+        return new Plan(name, seconds, zones, worthByWork, network, agents, nodos, rules,
+            new Registry(padron.noticeSeconds, padron.callsPerSecond, source), callers, classes, tenants, faults);
+    }
+
     /** The same day with another rate of requests. */
     public Plan withRate(double rate) {
         return new Plan(name, seconds, zones, worthByWork, network, agents, nodos, rules, padron,
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -21,10 +21,12 @@
 public final class PlanReader {
     /** The plans that come with the jar. */
     public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large", "fleet-herd",
-        "fleet-zone", "fleet-join");
+        "fleet-zone", "fleet-join", "registry");
     /** What may be spoken between callers, agents and nodos. */
     public static final List<String> PROTOCOLS = List.of("http", "framed-binary", "framed-compact", "unframed-binary",
         "unframed-compact");
+    /** Where agents may have the server list from. */
+    public static final List<String> SOURCES = List.of("padron", "etcd", "consul");
     private static final double MANY = 1e9;
 
     private final String file;
@@ -85,7 +87,7 @@
         Plan.Rules rules = rules(top.table("rules"));
         Table list = top.table("padron");
         Plan.Registry padron = new Plan.Registry(list.range("notice_s", new Range(0.5, 2), 0, 60),
-            list.number("calls_s", 0.0, 0, 1e6));
+            list.number("calls_s", 0.0, 0, 1e6), list.word("source", "padron", SOURCES));
         List<Plan.Kind> classes = classes(top);
         Plan.Callers callers = callers(top.table("callers"), classes);
         List<Plan.Tenant> tenants = new ArrayList<>();
@@ -95,7 +97,12 @@
         distinct(top, "tenants", tenants.stream().map(Plan.Tenant::name).toList());
         List<Fault> faults = new ArrayList<>();
         for (Table each : top.tables("faults")) {
-            faults.add(fault(each, seconds, agents.count(), nodos.count(), zones));
+            Fault fault = fault(each, seconds, agents.count(), nodos.count(), zones);
+            if (fault.kind().ofRegistry() && padron.source().equals("padron")) {
+                throw each.bad("kind", fault.kind().word()
+                    + " needs a registry: [padron] source = \"etcd\" or \"consul\"");
+            }
+            faults.add(fault);
         }
         top.finish();
         return new Plan(name, seconds, zones, byWork, network, agents, nodos, rules, padron, callers, classes,
--- a/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanWriter.java
@@ -46,6 +46,7 @@
         out.append("\n[padron]\n");
         put("notice_s", p.padron().noticeSeconds());
         put("calls_s", p.padron().callsPerSecond());
+        put("source", quoted(p.padron().source()));
         out.append("\n[callers]\n");
         put("rate", p.callers().rate());
         put("retries", p.callers().retries());
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -14,7 +14,7 @@
     private static final JavaClasses CODE = new ClassFileImporter()
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gatefront");
     private static final String[] PURE = {"gatefront.policy..", "gatefront.rehearsal.world..",
-        "gatefront.rehearsal.check.."};
+        "gatefront.rehearsal.check..", "gatefront.registry.follower.."};
 
     @Test
     void arrowsPointOneWay() {
@@ -29,6 +29,8 @@
         .layer("thrift").definedBy("gatefront.thrift")
         .layer("thrift codec").definedBy("gatefront.thrift.codec..")
         .layer("padron").definedBy("gatefront.padron..")
+        .layer("registry").definedBy("gatefront.registry")
+        .layer("follower").definedBy("gatefront.registry.follower..")
         .layer("codec").definedBy("gatefront.http.codec..")
         .layer("toml").definedBy("gatefront.toml..")
         .layer("config").definedBy("gatefront.config..")
@@ -45,11 +47,14 @@
         .whereLayer("thrift").mayOnlyBeAccessedByLayers("agent", "rehearsal")
         .whereLayer("thrift codec").mayNotAccessAnyLayer()
         .whereLayer("padron").mayOnlyBeAccessedByLayers("agent")
+        .whereLayer("registry").mayOnlyBeAccessedByLayers("agent", "cli", "rehearsal")
+        .whereLayer("registry").mayOnlyAccessLayers("follower", "codec", "config", "membership", "policy", "transport")
+        .whereLayer("follower").mayNotAccessAnyLayer()
         .whereLayer("toml").mayNotAccessAnyLayer()
         .whereLayer("policy").mayNotAccessAnyLayer()
         .whereLayer("transport").mayNotAccessAnyLayer()
         .whereLayer("membership").mayOnlyAccessLayers("policy")
-        .whereLayer("config").mayOnlyAccessLayers("policy")
+        .whereLayer("config").mayOnlyAccessLayers("membership", "policy")
         .whereLayer("codec").mayNotAccessAnyLayer()
             .check(CODE);
     }
--- /dev/null
+++ b/src/test/java/gatefront/agent/RegistrySourceTest.java
@@ -0,0 +1,161 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.config.Config;
+import gatefront.registry.RegistrySettings;
+import gatefront.rehearsal.registry.ConsulStand;
+import gatefront.rehearsal.registry.EtcdStand;
+import gatefront.rehearsal.registry.RegistryStand;
+import gatefront.rehearsal.world.KeyValues;
+import gatefront.toml.TomlException;
+import gatefront.transport.SocketTransport;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** An agent whose servers a registry lists, over loopback sockets. */
+class RegistrySourceTest {
+    @TempDir
+    private Path folder;
+
+    private Stage stage;
+    private SocketTransport sockets;
+    private final KeyValues keys = new KeyValues(1);
+    private RegistryStand registry;
+
+    @BeforeEach
+    void set() throws Exception {
+        stage = new Stage();
+        sockets = new SocketTransport();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        stage.close();
+        sockets.close(() -> { });
+    }
+
+    private void serve(RegistrySettings.Kind kind) throws Exception {
+        registry = kind == RegistrySettings.Kind.ETCD ? new EtcdStand(sockets, () -> keys)
+            : new ConsulStand(sockets, () -> keys);
+        registry.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+    }
+
+    private Extensions extensions(RegistrySettings.Kind kind, String rest) throws TomlException {
+        return Extensions.parse("x.toml", """
+            [registry]
+            kind = "%s"
+            endpoints = ["127.0.0.1:%d"]
+            prefix = "oaxaca/"
+            %s
+            """.formatted(kind.name().toLowerCase(), registry.address().getPort(), rest), Config.of(stage.config));
+    }
+
+    private void put(String key, ObjectNode value) throws Exception {
+        sockets.loop().submit(() -> {
+            if (value == null) {
+                keys.delete("oaxaca/" + key);
+            } else {
+                keys.put("oaxaca/" + key, value.toString());
+            }
+            registry.news();
+        }).sync();
+    }
+
+    private ObjectNode nodo(int number, Peer peer) {
+        return Stage.endpoint(number, peer.address(), "Ready");
+    }
+
+    private Peer peer() throws Exception {
+        return stage.peer((message, socket) -> Peer.answer(socket, 200, "", "served"));
+    }
+
+    /** Requests go to one server alone, from soon after on. */
+    private void only(Peer one, Peer other) throws Exception {
+        Stage.await(() -> {
+            try {
+                int before = other.requests.size();
+                for (int i = 0; i < 10; i++) {
+                    assertEquals(200, stage.call("lookup").status());
+                }
+                return other.requests.size() == before;
+            } catch (java.io.IOException e) {
+                return false;
+            }
+        });
+        int before = one.requests.size();
+        assertEquals(200, stage.call("lookup").status());
+        assertEquals(before + 1, one.requests.size());
+    }
+
+    @ParameterizedTest
+    @EnumSource(RegistrySettings.Kind.class)
+    void whatTheRegistryListsIsUsedAndWhatItDrainsIsNot(RegistrySettings.Kind kind) throws Exception {
+        serve(kind);
+        Peer first = peer();
+        Peer second = peer();
+        put("nodos/s-1", nodo(1, first));
+        put("nodos/s-2", nodo(2, second));
+        stage.start(extensions(kind, "padron = \"instead\""));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, stage.call("lookup").status());
+        }
+        assertTrue(first.requests.size() > 0 && second.requests.size() > 0);
+        put("policies/nodos/s-1", stage.config.objectNode().put("drain", true));
+        only(second, first);
+        put("policies/nodos/s-1", null);
+        put("nodos/s-2", null);
+        only(first, second);
+        put("nodos/s-1", stage.config.objectNode().put("v", 2)); // not understood: the last good one stays
+        assertEquals(200, stage.call("lookup").status());
+        assertEquals(0, stage.discovery.requests.size(), "the padrón is not asked");
+    }
+
+    @Test
+    void besideThePadronTheWorseOfBothHolds() throws Exception {
+        serve(RegistrySettings.Kind.ETCD);
+        Peer first = stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        Peer second = stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        put("nodos/s-1", nodo(1, first));
+        stage.start(extensions(RegistrySettings.Kind.ETCD, ""));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, stage.call("lookup").status());
+        }
+        assertTrue(first.requests.size() > 0 && second.requests.size() > 0);
+        put("nodos/s-1", null); // the padrón lists it still
+        only(second, first);
+    }
+
+    @Test
+    void aRegistryThatIsDownAtTheStartLeavesWhatIsOnTheDisk() throws Exception {
+        serve(RegistrySettings.Kind.ETCD);
+        Peer first = peer();
+        put("nodos/s-1", nodo(1, first));
+        Path state = folder.resolve("state");
+        String rest = "padron = \"instead\"\nstate_file = \"" + state + "\"";
+        stage.start(extensions(RegistrySettings.Kind.ETCD, rest));
+        assertEquals(200, stage.call("lookup").status());
+        Stage.await(() -> Files.exists(state));
+        stage.agent.stop();
+        int port = registry.address().getPort();
+        sockets.loop().submit(() -> registry.down(true, null)).sync();
+        stage.start(extensions(RegistrySettings.Kind.ETCD, rest));
+        assertEquals(200, stage.call("lookup").status());
+        Peer second = peer();
+        put("nodos/s-2", nodo(2, second));
+        put("nodos/s-1", null);
+        sockets.loop().submit(() -> registry.down(false,
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port))).sync();
+        only(second, first);
+    }
+}
--- a/src/test/java/gatefront/agent/Stage.java
+++ b/src/test/java/gatefront/agent/Stage.java
@@ -90,6 +90,12 @@
         return this;
     }
 
+    Stage start(Extensions extensions) throws IOException {
+        agent = Agent.start(Config.of(config), extensions);
+        awaitReady();
+        return this;
+    }
+
     Stage start(Function<Engine, Balancer> module) throws IOException {
         agent = Agent.start(Config.of(config), module);
         awaitReady();
--- a/src/test/java/gatefront/agent/ThriftStage.java
+++ b/src/test/java/gatefront/agent/ThriftStage.java
@@ -113,8 +113,8 @@
             methods.put(each, new Method(classes.indexOf(each), true));
         }
         methods.put("undeclared", new Method(classes.indexOf("lookup"), false));
-        agent = Agent.start(read, new ThriftSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null,
-            port, form.framed(), true, methods));
+        agent = Agent.start(read, new Extensions(new ThriftSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null,
+            port, form.framed(), true, methods), null));
         Stage.await(() -> agent.isReady());
         return this;
     }
--- /dev/null
+++ b/src/test/java/gatefront/registry/ConsulCallsTest.java
@@ -0,0 +1,58 @@
+package gatefront.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.rehearsal.net.Host;
+import gatefront.rehearsal.registry.ConsulStand;
+import gatefront.rehearsal.registry.RegistryStand;
+import org.junit.jupiter.api.Test;
+
+/** The contract for Consul, and what only Consul has. */
+class ConsulCallsTest extends RegistryContract {
+    private String token;
+
+    @Override
+    RegistrySettings.Kind kind() {
+        return RegistrySettings.Kind.CONSUL;
+    }
+
+    @Override
+    RegistryStand member(Host host) {
+        return new ConsulStand(host, () -> store);
+    }
+
+    @Override
+    RegistrySettings settings() {
+        return new RegistrySettings(kind(), addresses(), PREFIX, true, null, null, token, RegistrySettings.Reads.USUAL,
+            bounds(), null);
+    }
+
+    @Test
+    void theTokenIsToldAndWithoutItNothingIsRead() throws Exception {
+        put("nodos/a", "1");
+        members.forEach(each -> each.secret("s3cret"));
+        token = "s3cret";
+        follow();
+        same();
+        members.forEach(each -> each.secret("another"));
+        members.forEach(RegistryStand::cut);
+        put("nodos/a", "2");
+        run(3 * SECOND);
+        assertEquals("1", known("nodos/a"));
+        assertTrue(lines.stream().anyMatch(each -> each.contains("answer 403, the token has no right to oaxaca/")),
+            lines.toString());
+        assertTrue(lines.stream().noneMatch(each -> each.contains("s3cret")), "secrets are not logged");
+    }
+
+    /** Consul has one index for all keys of a prefix; where nothing changes, one read waits at a time. */
+    @Test
+    void quietAgentsAskSeldom() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        int before = members.stream().mapToInt(RegistryStand::calls).sum();
+        run(60 * SECOND);
+        int calls = members.stream().mapToInt(RegistryStand::calls).sum() - before;
+        assertTrue(calls >= 15 && calls <= 21, "calls in 60 s, each waits 3 s: " + calls);
+    }
+}
--- /dev/null
+++ b/src/test/java/gatefront/registry/RegistryContract.java
@@ -0,0 +1,469 @@
+package gatefront.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.rehearsal.net.Host;
+import gatefront.rehearsal.net.Network;
+import gatefront.rehearsal.net.VirtualTime;
+import gatefront.rehearsal.registry.RegistryStand;
+import gatefront.rehearsal.world.KeyValues;
+import gatefront.registry.follower.Bounds;
+import gatefront.registry.follower.Change;
+import gatefront.registry.follower.Entry;
+import gatefront.registry.follower.Follower;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What holds for a registry of either kind, by what goes wrong. On virtual time; one way takes 5 ms. */
+abstract class RegistryContract {
+    static final long MS = 1_000_000;
+    static final long SECOND = 1_000 * MS;
+    static final String PREFIX = "oaxaca/";
+    private static final String END = KeyValues.behind(PREFIX);
+    private static final int MEMBERS = 3;
+    private static final int PORT = 2379;
+    /** Told so long after the connection can be had again: the longest wait, a dial and two round trips. */
+    private static final long BOUND = 1_000 * MS + 100 * MS;
+
+    final VirtualTime time = new VirtualTime();
+    final Network network = new Network(time, 0, (from, to, bytes) -> 5 * MS);
+    KeyValues store = new KeyValues(7);
+    final List<RegistryStand> members = new ArrayList<>();
+    private final List<Host> hosts = new ArrayList<>();
+    final List<String> lines = new ArrayList<>();
+    final List<Change> told = new ArrayList<>();
+    private final List<Boolean> stale = new ArrayList<>();
+    private int fulls;
+    RegistryClient client;
+
+    abstract RegistrySettings.Kind kind();
+
+    abstract RegistryStand member(Host host);
+
+    Bounds bounds() {
+        boolean etcd = kind() == RegistrySettings.Kind.ETCD;
+        return new Bounds(50_000, 1_000_000, etcd ? 0 : 60_000, etcd ? 2_000_000 : 0, 6_000_000, 15_000_000,
+            600_000_000, 20_000);
+    }
+
+    RegistrySettings settings() {
+        return RegistrySettings.of(kind(), addresses(), PREFIX, bounds());
+    }
+
+    final List<InetSocketAddress> addresses() {
+        return hosts.stream().limit(MEMBERS).map(each -> each.at(PORT)).toList();
+    }
+
+    final Host host(String name, int net, int last) throws Exception {
+        return network.host(name, InetAddress.getByAddress(new byte[] {127, 0, (byte) net, (byte) last}), 0, 1 << 26,
+            lines::add);
+    }
+
+    @BeforeEach
+    void set() throws Exception {
+        for (int i = 0; i < MEMBERS; i++) {
+            hosts.add(host("registry-" + i, 2, 2 + i));
+            members.add(member(hosts.get(i)));
+            members.get(i).listen(hosts.get(i).at(PORT));
+        }
+        run(0);
+    }
+
+    final void run(long nanos) {
+        time.run(time.nanoTime() + nanos);
+    }
+
+    final RegistryClient follow(int agent, RegistryClient.Listener listener) throws Exception {
+        Host host = host("agent-" + agent, 8 + agent / 200, 1 + agent % 200);
+        return new RegistryClient(host, settings(), 1_000 + agent, listener);
+    }
+
+    final void follow() throws Exception {
+        client = follow(0, new RegistryClient.Listener() {
+            @Override
+            public void changed(boolean full, List<Change> changes, Map<String, Entry> all) {
+                fulls += full ? 1 : 0;
+                told.addAll(changes);
+            }
+
+            @Override
+            public void stale(boolean now) {
+                stale.add(now);
+            }
+        });
+        client.start();
+        run(300 * MS);
+    }
+
+    final void put(String key, String value) {
+        store.put(PREFIX + key, value);
+        news();
+    }
+
+    final void delete(String key) {
+        store.delete(PREFIX + key);
+        news();
+    }
+
+    final void news() {
+        members.forEach(RegistryStand::news);
+    }
+
+    final String known(String key) {
+        Entry entry = client.follower().entries().get(PREFIX + key);
+        return entry == null ? null : entry.value();
+    }
+
+    /** Everything that the registry has is known, and nothing else. */
+    final void same() {
+        assertEquals(store.range(PREFIX, END, store.revision()).stream()
+            .map(each -> new Entry(each.key(), each.value(), each.created(), each.modified())).toList(),
+            List.copyOf(client.follower().entries().values()));
+    }
+
+    /** Of one key, each value was told once, in the order of their revisions. */
+    final void once() {
+        Map<String, Long> newest = new HashMap<>();
+        for (Change each : told) {
+            Long before = newest.put(each.key(), each.modified());
+            assertTrue(before == null || before < each.modified(), each + " was told after revision " + before);
+        }
+    }
+
+    final void down(boolean now) {
+        for (int i = 0; i < MEMBERS; i++) {
+            members.get(i).down(now, hosts.get(i).at(PORT));
+        }
+    }
+
+    @Test
+    void whatIsThereIsToldAndThenWhatChanges() throws Exception {
+        put("nodos/a", "1");
+        store.put("elsewhere/b", "2");
+        follow();
+        assertEquals("1", known("nodos/a"));
+        put("nodos/a", "3");
+        run(200 * MS);
+        delete("nodos/a");
+        put("nodos/c", "4");
+        run(200 * MS);
+        assertEquals(List.of("1", "3", "null", "4"), told.stream().map(each -> String.valueOf(each.value())).toList());
+        same();
+        once();
+        assertEquals(1, client.follower().entries().size());
+    }
+
+    @Test
+    void anEmptyRegistryIsAState() throws Exception {
+        follow();
+        assertTrue(client.follower().revision() >= 0);
+        put("nodos/a", "1");
+        run(200 * MS);
+        same();
+    }
+
+    @Test
+    void aDrainThatComesWhileTheConnectionIsDownIsToldSoonAfterItIsBack() throws Exception {
+        put("nodos/a", "ready");
+        follow();
+        for (int round = 0; round < 20; round++) {
+            down(true);
+            run(200 * MS + round * 700 * MS);
+            store.put(PREFIX + "nodos/a", "drain " + round);
+            assertFalse(("drain " + round).equals(known("nodos/a")));
+            down(false);
+            run(BOUND);
+            assertEquals("drain " + round, known("nodos/a"), "round " + round + ", " + lines);
+        }
+        once();
+        assertEquals(1, fulls + (kind() == RegistrySettings.Kind.ETCD ? 0 : 1 - fulls), "the rest were changes");
+    }
+
+    @Test
+    void whatHasBeenCompactedMeanwhileIsReadAnewAndWhatIsLackingIsGone() throws Exception {
+        put("nodos/a", "1");
+        put("nodos/b", "2");
+        follow();
+        down(true);
+        run(SECOND);
+        delete("nodos/a");
+        for (int i = 0; i < 10; i++) {
+            put("nodos/c", "v" + i);
+        }
+        store.compact(store.revision());
+        down(false);
+        run(2 * SECOND);
+        same();
+        once();
+        assertTrue(told.stream().anyMatch(each -> each.key().equals(PREFIX + "nodos/a") && each.value() == null));
+    }
+
+    @Test
+    void aKeyThatIsDeletedAndMadeAgainIsAnotherOne() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        delete("nodos/a");
+        put("nodos/a", "1");
+        run(300 * MS);
+        same();
+        once();
+        assertEquals(store.revision(), client.follower().entries().get(PREFIX + "nodos/a").created());
+    }
+
+    @Test
+    void aMemberThatLagsIsNotBelieved() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        put("nodos/a", "2");
+        run(300 * MS);
+        members.forEach(each -> each.lag(1));
+        members.forEach(RegistryStand::cut);
+        run(10 * SECOND);
+        assertEquals("2", known("nodos/a"), "it never goes back");
+        put("nodos/a", "3");
+        members.forEach(each -> each.lag(0));
+        run(10 * SECOND);
+        same();
+        once();
+    }
+
+    @Test
+    void aBackupThatIsRestoredIsReadWhole() throws Exception {
+        put("nodos/a", "1");
+        KeyValues backup = store.backup();
+        follow();
+        put("nodos/a", "2");
+        put("nodos/b", "3");
+        run(300 * MS);
+        store = backup.backup();
+        members.forEach(RegistryStand::cut);
+        run(10 * SECOND);
+        same();
+        assertEquals("1", known("nodos/a"));
+        put("nodos/a", "4");
+        run(SECOND);
+        same();
+    }
+
+    @Test
+    void aCallThatIsSilentIsGivenUpAndTheStateStays() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        int connected = (int) members.stream().filter(each -> each.connections() > 0).count();
+        assertEquals(1, connected);
+        RegistryStand mute = members.stream().filter(each -> each.connections() > 0).findFirst().orElseThrow();
+        mute.silent(true);
+        put("nodos/a", "2");
+        run(500 * MS);
+        assertEquals("1", known("nodos/a"));
+        run(8 * SECOND);
+        assertEquals("2", known("nodos/a"), "another member has told it: " + lines);
+        assertTrue(lines.stream().anyMatch(each -> each.contains("nothing came for 6 s")), lines.toString());
+        assertTrue(stale.isEmpty());
+    }
+
+    @Test
+    void whereNobodyAnswersTheStateIsStaleAndStays() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        down(true);
+        run(20 * SECOND);
+        assertEquals(List.of(true), stale);
+        assertEquals("1", known("nodos/a"));
+        assertEquals(Follower.State.RESUMING, client.follower().state());
+        down(false);
+        run(5 * SECOND); // a read that waits says so only at its end
+        assertEquals(List.of(true, false), stale);
+        same();
+    }
+
+    @Test
+    void tenThousandKeysAtOnce() throws Exception {
+        follow();
+        Map<String, String> all = new TreeMap<>();
+        for (int i = 0; i < 10_000; i++) {
+            all.put(PREFIX + "nodos/" + i, "{\"weight\":" + i + "}");
+        }
+        store.commit(all);
+        news();
+        run(3 * SECOND);
+        same();
+        all.replaceAll((key, value) -> value + " ");
+        store.commit(all);
+        news();
+        run(3 * SECOND);
+        same();
+        once();
+        members.forEach(RegistryStand::cut);
+        store.compact(store.revision());
+        run(3 * SECOND);
+        same();
+    }
+
+    @Test
+    void moreKeysThanAreKeptLeaveTheOldState() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        Map<String, String> all = new TreeMap<>();
+        for (int i = 0; i <= 20_000; i++) {
+            all.put(PREFIX + "nodos/" + i, "");
+        }
+        store.commit(all);
+        news();
+        run(20 * SECOND);
+        assertEquals(1, client.follower().entries().size());
+        assertTrue(lines.stream().anyMatch(each -> each.contains("20000 keys")), lines.toString());
+        assertEquals(List.of(true), stale);
+    }
+
+    @Test
+    void membersThatFailAtRandomLoseNoChange() throws Exception {
+        for (int seed = 0; seed < 12; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            RegistryContract world = getClass().getDeclaredConstructor().newInstance();
+            world.set();
+            world.follow();
+            for (int step = 0; step < 150; step++) {
+                world.put("nodos/" + random.nextInt(6), "v" + step);
+                if (random.nextInt(4) == 0) {
+                    world.delete("nodos/" + random.nextInt(6));
+                }
+                int member = random.nextInt(MEMBERS);
+                switch (random.nextInt(8)) {
+                    case 0 -> world.members.get(member).cut();
+                    case 1 -> world.members.get(member).down(true, null);
+                    case 2 -> {
+                        world.members.get(member).down(true, null);
+                        world.members.get(member).down(false, world.hosts.get(member).at(PORT));
+                    }
+                    case 3 -> world.store.compact(world.store.revision() - random.nextInt(5));
+                    case 4 -> world.members.get(member).silent(random.nextBoolean());
+                    case 5 -> world.members.get(member).lag(random.nextInt(3));
+                    default -> { }
+                }
+                world.run(random.nextLong(400 * MS));
+                world.once();
+            }
+            for (int i = 0; i < MEMBERS; i++) {
+                world.members.get(i).silent(false);
+                world.members.get(i).lag(0);
+                world.members.get(i).down(true, null);
+                world.members.get(i).down(false, world.hosts.get(i).at(PORT));
+            }
+            world.run(20 * SECOND);
+            world.same();
+            world.once();
+        }
+    }
+
+    @Test
+    void aRegistryWithTooMuchToDoIsAskedMoreSeldom() throws Exception {
+        members.forEach(each -> each.overloaded(true));
+        follow();
+        run(20 * SECOND);
+        int before = calls();
+        run(20 * SECOND);
+        assertTrue(calls() - before < 24, "calls in 20 s: " + (calls() - before));
+        members.forEach(each -> each.overloaded(false));
+        put("nodos/a", "1");
+        run(5 * SECOND);
+        same();
+    }
+
+    private int calls() {
+        return members.stream().mapToInt(RegistryStand::calls).sum();
+    }
+
+    /** All agents lose the registry together, and it comes back. */
+    @Test
+    void agentsThatComeBackTogetherAreSpread() throws Exception {
+        put("nodos/a", "1");
+        List<RegistryClient> agents = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            agents.add(follow(i, (full, changes, all) -> { }));
+            agents.get(i).start();
+        }
+        run(5 * SECOND);
+        down(true);
+        run(20 * SECOND);
+        put("nodos/a", "2");
+        down(false);
+        int most = 0;
+        int before = calls();
+        int first = before;
+        for (int tenth = 0; tenth < 30; tenth++) {
+            run(100 * MS);
+            most = Math.max(most, calls() - before);
+            before = calls();
+        }
+        for (RegistryClient each : agents) {
+            assertEquals("2", each.follower().entries().get(PREFIX + "nodos/a").value());
+        }
+        // 100 agents over a second, and with Consul a watch behind each read.
+        assertTrue(most < 40, "the most in a tenth of a second: " + most);
+        assertTrue(calls() - first <= 350, "in all " + (calls() - first));
+    }
+
+    @Test
+    void whatIsNoAnswerIsNotBelieved() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        down(true);
+        Channel[] liars = new Channel[MEMBERS];
+        for (int i = 0; i < MEMBERS; i++) {
+            byte[] noise = ("HTTP/1.1 200 OK\r\nX-Consul-Index: 99\r\nContent-Length: 4\r\n\r\n[{]]").getBytes();
+            liars[i] = new ServerBootstrap().group(hosts.get(i).loop()).channelFactory(hosts.get(i).listeners())
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                                ReferenceCountUtil.release(bytes);
+                                ctx.writeAndFlush(Unpooled.wrappedBuffer(noise));
+                            }
+                        });
+                    }
+                }).bind(hosts.get(i).at(PORT)).channel();
+        }
+        run(5 * SECOND);
+        assertEquals("1", known("nodos/a"));
+        for (Channel each : liars) {
+            each.close();
+        }
+        run(100 * MS);
+        put("nodos/a", "2");
+        down(false);
+        run(3 * SECOND);
+        same();
+    }
+
+    @Test
+    void nothingIsOpenOnceItIsClosed() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        client.close();
+        run(SECOND);
+        assertEquals(0, members.stream().mapToInt(RegistryStand::connections).sum());
+        put("nodos/a", "2");
+        run(20 * SECOND);
+        assertEquals("1", known("nodos/a"));
+    }
+}
