--- a/src/main/java/gatefront/agent/RegistryTable.java
+++ b/src/main/java/gatefront/agent/RegistryTable.java
@@ -48,10 +48,9 @@
         }
         boolean instead = table.word("padron", "beside", List.of("beside", "instead")).equals("instead");
         boolean etcd = kind == Kind.ETCD;
-        for (String key : etcd ? List.of("token_file") : List.of("user", "password_file")) {
+        for (String key : etcd ? List.of("token_file", "service") : List.of("user", "password_file")) {
             if (table.has(key)) {
-                throw table.bad(key, "means nothing for " + (etcd ? "etcd, which has user and password_file"
-                    : "Consul, which has token_file"));
+                throw table.bad(key, "means nothing for " + (etcd ? "etcd" : "Consul, which has token_file"));
             }
         }
         if (table.has("user") != table.has("password_file")) {
@@ -59,6 +58,10 @@
                 "is missing; user and password_file go together");
         }
         String user = table.has("user") ? table.text("user", null) : null;
+        String service = table.has("service") ? table.text("service", null) : null;
+        if (service != null && !service.matches("[A-Za-z0-9._~-]+")) {
+            throw table.bad("service", "is to be the name of one service, as in \"cuentas\"");
+        }
         Reads reads = Reads.valueOf(table.word("reads", "usual", List.of("usual", "consistent", "stale"))
             .toUpperCase(Locale.ROOT));
         if (etcd && reads == Reads.CONSISTENT) {
@@ -83,7 +86,7 @@
             throw table.bad("state_file", "its folder " + state.toAbsolutePath().getParent() + " is not there");
         }
         return new RegistrySettings(kind, List.copyOf(endpoints), prefix, instead, user, secret(table, "password_file"),
-            secret(table, "token_file"), reads, bounds, state);
+            secret(table, "token_file"), service, reads, bounds, state);
     }
 
     /** Secrets stand in files of their own, which can have rights of their own. */
--- a/src/main/java/gatefront/registry/ConsulCalls.java
+++ b/src/main/java/gatefront/registry/ConsulCalls.java
@@ -32,8 +32,8 @@
 import java.util.List;
 
 /**
- * Consul's key-value store by blocking queries: each answer is the whole state below the prefix, with an index to wait
- * behind. One connection, one call at a time.
+ * Consul's key-value store, or the health of a service, by blocking queries: each answer is the whole state, with an
+ * index to wait behind. One connection, one call at a time.
  */
 final class ConsulCalls implements Calls {
     private static final int BODY_BYTES_MOST = 32 << 20;
@@ -96,8 +96,11 @@
     private void call(long call, boolean byQuorum, long behind) {
         out = call;
         quorum = byQuorum;
-        QueryStringEncoder uri = new QueryStringEncoder("/v1/kv/" + settings.prefix());
-        uri.addParam("recurse", "true");
+        QueryStringEncoder uri = new QueryStringEncoder(settings.service() == null ? "/v1/kv/" + settings.prefix()
+            : "/v1/health/service/" + settings.service());
+        if (settings.service() == null) {
+            uri.addParam("recurse", "true");
+        }
         if (behind >= 0) {
             uri.addParam("index", String.valueOf(behind));
             // Consul adds up to a sixteenth, and the answer has to come before the call passes for broken.
@@ -169,7 +172,9 @@
                 throw new IllegalArgumentException("index " + index);
             }
             if (status == 200) {
-                entries = decode(Config.json(body), index);
+                JsonNode root = Config.json(body);
+                entries = settings.service() == null ? decode(root, index)
+                    : ConsulHealth.decode(root, settings.prefix(), index);
             }
         } catch (IOException | IllegalArgumentException e) {
             failed(call, "unusable answer: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), false);
--- a/src/main/java/gatefront/registry/RegistrySettings.java
+++ b/src/main/java/gatefront/registry/RegistrySettings.java
@@ -15,13 +15,14 @@
  * @param user who asks, or null
  * @param password of the user, or null
  * @param token of Consul, or null
+ * @param service of Consul whose instances are listed by their health, in place of keys; or null
  * @param reads which reads are believed
  * @param bounds what the follower keeps to
  * @param stateFile where the last state is kept, or null
  */
 public record RegistrySettings(Kind kind, List<InetSocketAddress> endpoints, String prefix, boolean instead,
-                               String user, String password, String token, Reads reads, Bounds bounds,
-                               Path stateFile) {
+                               String user, String password, String token, String service, Reads reads,
+                               Bounds bounds, Path stateFile) {
     /** What a registry speaks. */
     public enum Kind { /** etcd, version 3, over gRPC. */ ETCD, /** Consul's key-value store, over HTTP. */ CONSUL }
 
@@ -30,7 +31,7 @@
 
     /** With the usual reads, without secrets and disk, in place of the padrón. */
     public static RegistrySettings of(Kind kind, List<InetSocketAddress> endpoints, String prefix, Bounds bounds) {
-        return new RegistrySettings(kind, List.copyOf(endpoints), prefix, true, null, null, null, Reads.USUAL, bounds,
-            null);
+        return new RegistrySettings(kind, List.copyOf(endpoints), prefix, true, null, null, null, null, Reads.USUAL,
+            bounds, null);
     }
 }
--- a/src/main/java/gatefront/registry/follower/Follower.java
+++ b/src/main/java/gatefront/registry/follower/Follower.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.LongUnaryOperator;
 
 /**
  * Follows the keys below a prefix of a registry that numbers its states: a full read, then what has changed since. For
@@ -91,7 +92,8 @@
 
     private final Bounds bounds;
     private final Actions actions;
-    private final SplittableRandom jitter;
+    /** A moment of chance from 0 up to its argument. */
+    private final LongUnaryOperator jitter;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private State state = State.LISTING;
     /** Of which registry the revisions are; 0 while none is known. */
@@ -124,9 +126,18 @@
      * @param actions what it wants done
      */
     public Follower(Bounds bounds, long seed, Actions actions) {
+        this(bounds, most(new SplittableRandom(seed)), actions);
+    }
+
+    private static LongUnaryOperator most(SplittableRandom random) {
+        return most -> random.nextLong(most + 1);
+    }
+
+    /** With another jitter. */
+    Follower(Bounds bounds, LongUnaryOperator jitter, Actions actions) {
         this.bounds = bounds;
         this.actions = actions;
-        this.jitter = new SplittableRandom(seed);
+        this.jitter = jitter;
         this.backoff = bounds.backoffLeast();
     }
 
@@ -198,7 +209,7 @@
         revision = atRevision;
         state = State.WATCHING;
         rereadAt = bounds.reread() == 0 ? Long.MAX_VALUE
-            : now + bounds.reread() / 2 + jitter.nextLong(bounds.reread() / 2 + 1);
+            : now + bounds.reread() / 2 + jitter.applyAsLong(bounds.reread() / 2);
         fresh(now);
         end(false);
         if (first || !changes.isEmpty()) {
@@ -206,7 +217,7 @@
             all.forEach(each -> entries.put(each.key(), each));
             actions.changed(true, changes);
         }
-        after(now, bounds.pause() == 0 ? 0 : bounds.pause() + jitter.nextLong(bounds.pause()));
+        after(now, bounds.pause() == 0 ? 0 : bounds.pause() + jitter.applyAsLong(bounds.pause()));
     }
 
     /** What tells the state known from a full read, in the order of revisions. */
@@ -316,7 +327,7 @@
             // Not another of the long waits: the call has just waited one, and a drain may be among what is lacking.
             state = State.COMPACTED;
             end(false);
-            after(now, jitter.nextLong(bounds.backoffLeast() + 1));
+            after(now, jitter.applyAsLong(bounds.backoffLeast()));
         }
     }
 
@@ -429,7 +440,7 @@
 
     /** Full jitter: doubled steps alone would keep those that began together in step for ever. */
     private void backOff(long now, boolean overloaded) {
-        long wait = jitter.nextLong(backoff + 1);
+        long wait = jitter.applyAsLong(backoff);
         backoff = Math.min(2 * backoff, bounds.backoffMost() * (overloaded ? Bounds.OVERLOADED : 1));
         after(now, wait);
     }
--- a/src/main/java/gatefront/rehearsal/registry/ConsulStand.java
+++ b/src/main/java/gatefront/rehearsal/registry/ConsulStand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.rehearsal.world.KeyValues;
 import gatefront.transport.Transport;
 import io.netty.buffer.Unpooled;
@@ -53,6 +54,7 @@
         private String prefix;
         private long behind;
         private boolean consistent;
+        private boolean health;
         private int call;
 
         @Override
@@ -79,7 +81,9 @@
                 answer(isOverloaded() ? HttpResponseStatus.TOO_MANY_REQUESTS : HttpResponseStatus.FORBIDDEN, -1, "");
                 return;
             }
-            prefix = uri.path().substring("/v1/kv/".length());
+            health = uri.path().startsWith("/v1/health/service/");
+            prefix = health ? uri.path().substring("/v1/health/service/".length()) + "/"
+                : uri.path().substring("/v1/kv/".length());
             consistent = uri.parameters().containsKey("consistent");
             behind = waits ? Long.parseLong(uri.parameters().get("index").get(0)) : -1;
             int mine = ++call;
@@ -108,14 +112,30 @@
             Map<String, String> values = new LinkedHashMap<>();
             ArrayNode root = JsonNodeFactory.instance.arrayNode();
             for (KeyValues.Kv each : all) {
+                values.put(each.key(), each.value());
+                if (health) {
+                    instance(root.addObject(), each);
+                    continue;
+                }
                 root.addObject().put("LockIndex", 0).put("Key", each.key()).put("Flags", 0)
                     .put("Value", Base64.getEncoder().encodeToString(each.value().getBytes(StandardCharsets.UTF_8)))
                     .put("CreateIndex", each.created()).put("ModifyIndex", each.modified());
-                values.put(each.key(), each.value());
             }
             wrote(true, values, at);
-            answer(all.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.OK, at,
-                all.isEmpty() ? "" : root.toString());
+            boolean none = all.isEmpty() && !health;
+            answer(none ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.OK, at, none ? "" : root.toString());
+        }
+
+        /** An instance, from a key {@code SERVICE/ID} that holds address, zone and the state of its check. */
+        private void instance(ObjectNode root, KeyValues.Kv kv) {
+            String[] held = kv.value().split(" ");
+            root.putObject("Node").put("Address", "127.0.0.1");
+            ObjectNode service = root.putObject("Service").put("ID", kv.key().substring(prefix.length()))
+                .put("Address", "").put("Port", Integer.parseInt(held[0])).put("CreateIndex", kv.created())
+                .put("ModifyIndex", kv.created()); // a check changes without it
+            service.putObject("Meta").put("zone", held[1]).put("type", "small");
+            service.putObject("Weights").put("Passing", 2);
+            root.putArray("Checks").addObject().put("Status", held[2]);
         }
 
         private void answer(HttpResponseStatus status, long index, String text) {
--- a/src/test/java/gatefront/registry/ConsulCallsTest.java
+++ b/src/test/java/gatefront/registry/ConsulCallsTest.java
@@ -11,6 +11,7 @@
 /** The contract for Consul, and what only Consul has. */
 class ConsulCallsTest extends RegistryContract {
     private String token;
+    private String service;
 
     @Override
     RegistrySettings.Kind kind() {
@@ -24,8 +25,8 @@
 
     @Override
     RegistrySettings settings() {
-        return new RegistrySettings(kind(), addresses(), PREFIX, true, null, null, token, RegistrySettings.Reads.USUAL,
-            bounds(), null);
+        return new RegistrySettings(kind(), addresses(), PREFIX, true, null, null, token, service,
+            RegistrySettings.Reads.USUAL, bounds(), null);
     }
 
     @Test
@@ -45,6 +46,24 @@
         assertTrue(lines.stream().noneMatch(each -> each.contains("s3cret")), "secrets are not logged");
     }
 
+    /** The instances of a service: a check that turns critical changes no index of the instance, and still is told. */
+    @Test
+    void theHealthOfAServiceIsAListToo() throws Exception {
+        service = "cuentas";
+        store.put("cuentas/s-1", "3000 a passing");
+        follow();
+        assertEquals("{\"address\":\"127.0.0.1:3000\",\"zone\":\"a\",\"type\":\"small\",\"group\":0,"
+            + "\"status\":\"Ready\",\"weight\":2.0,\"since_ms\":0}", known("nodos/s-1"));
+        store.put("cuentas/s-1", "3000 a critical");
+        news();
+        run(300 * MS);
+        assertTrue(known("nodos/s-1").contains("\"status\":\"Terminating\""), known("nodos/s-1"));
+        store.delete("cuentas/s-1");
+        news();
+        run(300 * MS);
+        assertEquals(0, client.follower().entries().size());
+    }
+
     /** Consul has one index for all keys of a prefix; where nothing changes, one read waits at a time. */
     @Test
     void quietAgentsAskSeldom() throws Exception {
--- a/src/test/java/gatefront/registry/EtcdCallsTest.java
+++ b/src/test/java/gatefront/registry/EtcdCallsTest.java
@@ -27,7 +27,7 @@
     @Override
     RegistrySettings settings() {
         return new RegistrySettings(kind(), addresses(), PREFIX, true, password == null ? null : "agente", password,
-            null, RegistrySettings.Reads.USUAL, bounds(), null);
+            null, null, RegistrySettings.Reads.USUAL, bounds(), null);
     }
 
     private EtcdStand etcd(int i) {
--- /dev/null
+++ b/src/test/java/gatefront/registry/follower/RegistryFigures.java
@@ -0,0 +1,132 @@
+package gatefront.registry.follower;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.LongUnaryOperator;
+import org.junit.jupiter.api.Test;
+
+/** Figures for the design note; by hand: {@code mvn test -Dtest=RegistryFigures}. */
+class RegistryFigures {
+    private static final int KEYS = 10_000;
+    private static final Bounds BOUNDS = new Bounds(50_000, 1_000_000, 0, 2_000_000, 8_000_000, 30_000_000, 0, 20_000);
+
+    private static final class Quiet implements Follower.Actions {
+        private long call;
+        private int calls;
+        private long timerAt = -1;
+        private long now;
+
+        @Override
+        public void list(long of, boolean quorum) {
+            call = of;
+            calls++;
+        }
+
+        @Override
+        public void watch(long of, long revision) {
+            call = of;
+            calls++;
+        }
+
+        @Override
+        public void ask(long of) { }
+
+        @Override
+        public void drop(boolean failed) { }
+
+        @Override
+        public void timer(long delay) {
+            timerAt = now + delay;
+        }
+
+        @Override
+        public void changed(boolean full, List<Change> changes) { }
+
+        @Override
+        public void stale(boolean is) { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    private static List<Entry> entries() {
+        List<Entry> all = new ArrayList<>();
+        for (int i = 0; i < KEYS; i++) {
+            all.add(new Entry("oaxaca/nodos/nodo-" + i, "{\"address\":\"10.1.0." + i % 250 + ":3000\",\"zone\":\"a\","
+                + "\"type\":\"m2\",\"group\":3,\"status\":\"Ready\",\"weight\":1.0,\"since_ms\":0}", 1, 1 + i));
+        }
+        return all;
+    }
+
+    private static long used() {
+        for (int i = 0; i < 4; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    @Test
+    void changesASecondAndMemory() {
+        long before = used();
+        Quiet quiet = new Quiet();
+        Follower follower = new Follower(BOUNDS, 1, quiet);
+        follower.start(0);
+        follower.listed(0, quiet.call, 1, KEYS + 1, true, entries());
+        System.out.printf("memory for %d nodos: %.1f MB%n", KEYS, (used() - before) / 1e6);
+        for (int round = 0; round < 5; round++) {
+            long began = System.nanoTime();
+            int n = 1_000_000;
+            long from = follower.revision();
+            for (int i = 1; i <= n; i++) {
+                follower.changes(0, quiet.call,
+                    List.of(new Change("oaxaca/nodos/nodo-" + i % KEYS, "x", 1, from + i)), false);
+            }
+            System.out.printf("changes a second, one a message: %.0f%n", n / ((System.nanoTime() - began) / 1e9));
+            began = System.nanoTime();
+            for (int i = 0; i < 20; i++) {
+                follower.compacted(0, quiet.call, 1);
+                quiet.now += 1_000_000;
+                follower.timer(quiet.now);
+                follower.listed(quiet.now, quiet.call, 1, follower.revision() + 1, true, entries());
+            }
+            System.out.printf("a full read of %d taken in: %.1f ms%n", KEYS, (System.nanoTime() - began) / 20 / 1e6);
+        }
+    }
+
+    /** All lose the registry at once and it is back after 20 s: calls in the fullest tenth of a second after that. */
+    @Test
+    void crowdAfterAnOutage() {
+        for (int agents : new int[] {100, 1_000}) {
+            for (boolean jitter : new boolean[] {false, true}) {
+                int[] calls = new int[50];
+                for (int i = 0; i < agents; i++) {
+                    SplittableRandom random = new SplittableRandom(i);
+                    LongUnaryOperator wait = jitter ? most -> random.nextLong(most + 1) : most -> most;
+                    Quiet quiet = new Quiet();
+                    Follower follower = new Follower(BOUNDS, wait, quiet);
+                    follower.start(0);
+                    follower.listed(0, quiet.call, 1, 5, true, List.of());
+                    while (quiet.now < 22_000_000) {
+                        int before = quiet.calls;
+                        follower.failed(quiet.now, quiet.call, "down", false);
+                        while (quiet.calls == before) {
+                            quiet.now = quiet.timerAt;
+                            follower.timer(quiet.now);
+                        }
+                        if (quiet.now >= 20_000_000) {
+                            calls[(int) Math.min(49, (quiet.now - 20_000_000) / 100_000)]++;
+                            break; // it is answered
+                        }
+                    }
+                }
+                int most = 0;
+                for (int each : calls) {
+                    most = Math.max(most, each);
+                }
+                System.out.printf("%d agents, %s jitter: %d calls in the fullest tenth of a second%n", agents,
+                    jitter ? "with" : "without", most);
+            }
+        }
+    }
+}
