--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -1,5 +1,7 @@
 package gatefront.agent;
 
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
 import gatefront.config.Config;
 import gatefront.engine.Engine;
 import gatefront.engine.Front;
@@ -9,6 +11,7 @@
 import gatefront.membership.Endpoint;
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
+import gatefront.status.StatusFront;
 import gatefront.thrift.ThriftFront;
 import gatefront.thrift.ThriftSettings;
 import gatefront.thrift.ThriftUpstream;
@@ -20,7 +23,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -47,8 +52,18 @@
     /** How long the first list is waited for before the known one has to do. */
     private static final long FIRST_LIST_MS = 1_000;
 
+    /** The part of the heap that bodies of requests may take, and that answers in part may. */
+    private static final int BODIES_PART = 6;
+    /** Calls held at the most: several of a connection wait where a protocol lets them. */
+    private static final int CALLS_A_CONNECTION = 8;
+    private static final int CALLS_LEAST = 1_024;
+    private static final long TREND_SECONDS = 1;
+
     private final Config config;
     private final Transport transport;
+    private final Budget budget;
+    /** Shows what is held; null where nobody asked for it. */
+    private final StatusFront status;
     private final EventLoop loop;
     private final Engine engine;
     private final HttpUpstream backends;
@@ -73,8 +88,15 @@
         this.transport = transport;
         loop = transport.loop();
         int each = (config.sockets() - SOCKETS_RESERVED) / (thrift == null ? 2 : 4);
-        backends = new HttpUpstream(transport, config, each);
-        ThriftUpstream overThrift = thrift == null ? null : new ThriftUpstream(transport, config, thrift, each);
+        budget = new Budget(transport.memory(), caps(transport.memory(), each * (thrift == null ? 1 : 2)));
+        if (extensions.memory() != null) {
+            budget.caps(extensions.memory().caps());
+        }
+        status = extensions.memory() == null || extensions.memory().status() == null ? null
+            : new StatusFront(transport, extensions.memory().status(), budget);
+        backends = new HttpUpstream(transport, config, each, budget);
+        ThriftUpstream overThrift = thrift == null ? null
+            : new ThriftUpstream(transport, config, thrift, each, budget);
         List<Upstream> upstreams = overThrift == null ? List.of(backends)
             : thrift.probes() ? List.of(overThrift, backends) : List.of(backends, overThrift);
         discovery = new Discovery(transport, config, new Discovery.Listener() {
@@ -111,16 +133,34 @@
                     discovery.fetch();
                 }
             }
-        }, module);
+        }, budget, module);
         sources = extensions.registry() == null ? null
-            : new Sources(transport, config, extensions.registry(), engine, () -> listed = true);
-        clients = new HttpFront(transport, config, each, this::ready, engine.through(backends));
+            : new Sources(transport, config, extensions.registry(), budget.of(Purpose.REGISTRY), engine,
+                () -> listed = true);
+        clients = new HttpFront(transport, config, each, this::ready, budget, engine.through(backends));
         fronts.add(clients);
         if (thrift != null) {
-            fronts.add(new ThriftFront(transport, config, thrift, each, this::ready, engine.through(overThrift)));
+            fronts.add(new ThriftFront(transport, config, thrift, each, this::ready, budget,
+                engine.through(overThrift)));
         }
     }
 
+    /** What each purpose may hold where nothing else is said; the connections' own limits hold them besides. */
+    static Map<Purpose, Budget.Cap> caps(long memory, int connections) {
+        Map<Purpose, Budget.Cap> caps = new EnumMap<>(Purpose.class);
+        caps.put(Purpose.CALLER_CONNECTIONS, new Budget.Cap(connections, -1));
+        caps.put(Purpose.SERVER_CONNECTIONS, new Budget.Cap(connections, -1));
+        caps.put(Purpose.REQUESTS, new Budget.Cap(-1, memory / BODIES_PART));
+        caps.put(Purpose.SERVER_ANSWERS, new Budget.Cap(-1, memory / BODIES_PART));
+        caps.put(Purpose.CALLS, new Budget.Cap(Math.max(CALLS_LEAST, CALLS_A_CONNECTION * connections), -1));
+        return caps;
+    }
+
+    /** What it holds, by purpose; to be asked on its loop. */
+    public Budget budget() {
+        return budget;
+    }
+
     /**
      * Starts an agent; it listens when this returns.
      *
@@ -162,6 +202,10 @@
                     + ": " + bound.cause().getMessage());
             }
         }
+        if (agent.status != null && !agent.status.listen().awaitUninterruptibly().isSuccess()) {
+            sockets.close(() -> { });
+            throw new IOException("cannot listen on " + extensions.memory().status() + " for the status page");
+        }
         agent.loop.execute(agent::begin);
         return agent;
     }
@@ -188,6 +232,8 @@
     }
 
     private void begin() {
+        loop.scheduleWithFixedDelay(() -> budget.rising(engine.now()).forEach(this::say), TREND_SECONDS, TREND_SECONDS,
+            TimeUnit.SECONDS);
         InetSocketAddress at = address();
         say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         Discovery.Listing known;
@@ -231,6 +277,11 @@
         return (InetSocketAddress) fronts.get(1).channel().localAddress();
     }
 
+    /** Where its status page is. */
+    InetSocketAddress statusAddress() {
+        return status.address();
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return (InetSocketAddress) clients.channel().localAddress();
@@ -320,6 +371,9 @@
             if (sources != null) {
                 sources.close();
             }
+            if (status != null) {
+                status.close();
+            }
             transport.close(() -> {
                 ended.countDown();
                 whenEnded.run();
--- a/src/main/java/gatefront/agent/Extensions.java
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -21,10 +21,11 @@
  *
  * @param thrift how the agent speaks Thrift, or null if it does not
  * @param registry which registry it follows, or null if none
+ * @param memory where what it holds is shown, and other caps; or null
  */
-public record Extensions(ThriftSettings thrift, RegistrySettings registry) {
+public record Extensions(ThriftSettings thrift, RegistrySettings registry, MemoryTable memory) {
     /** None. */
-    public static final Extensions NONE = new Extensions(null, null);
+    public static final Extensions NONE = new Extensions(null, null, null);
     private static final int PORT_MOST = 65_535;
     private static final Map<String, Encoding> ENCODINGS = Map.of("binary", Encoding.BINARY, "binary-old",
         Encoding.BINARY_OLD, "compact", Encoding.COMPACT);
@@ -50,8 +51,9 @@
         Table table = top.table("thrift");
         ThriftSettings thrift = top.has("thrift") ? thrift(table, config) : null;
         RegistrySettings registry = top.has("registry") ? RegistryTable.read(top.table("registry")) : null;
+        MemoryTable memory = top.has("memory") ? MemoryTable.read(top.table("memory")) : null;
         top.finish();
-        return new Extensions(thrift, registry);
+        return new Extensions(thrift, registry, memory);
     }
 
     private static ThriftSettings thrift(Table table, Config config) throws TomlException {
--- /dev/null
+++ b/src/main/java/gatefront/agent/MemoryTable.java
@@ -0,0 +1,51 @@
+package gatefront.agent;
+
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
+import gatefront.config.Config;
+import gatefront.toml.Table;
+import gatefront.toml.TomlException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The table {@code [memory]}: where the status page listens, and other caps than the usual.
+ *
+ * @param status where the page is, or null if there is none
+ * @param caps by purpose, those that are not the usual
+ */
+record MemoryTable(InetSocketAddress status, Map<Purpose, Budget.Cap> caps) {
+    private static final int ENTRIES_MOST = 10_000_000;
+    private static final double KIB_MOST = 1 << 24;
+
+    static MemoryTable read(Table table) throws TomlException {
+        InetSocketAddress status = null;
+        if (table.has("status")) {
+            try {
+                status = Config.address(table.text("status", null));
+            } catch (IllegalArgumentException e) {
+                throw table.bad("status", "is to be a literal address and a port, as in \"127.0.0.1:9191\"");
+            }
+            if (!status.getAddress().isLoopbackAddress()) {
+                throw table.bad("status", "is to be a loopback address: the page tells everything to whoever asks");
+            }
+        }
+        Map<Purpose, Budget.Cap> caps = new EnumMap<>(Purpose.class);
+        List<String> words = Arrays.stream(Purpose.values()).map(Purpose::word).toList();
+        for (Table each : table.tables("caps")) {
+            Purpose purpose = Purpose.values()[words.indexOf(each.word("purpose", null, words))];
+            int entries = each.whole("entries", -1, 1, ENTRIES_MOST);
+            double kib = each.number("kib", -1.0, 1, KIB_MOST);
+            if (entries < 0 && kib < 0) {
+                throw each.bad("entries", "is missing; a cap is of entries, of kib, or of both");
+            }
+            if (caps.put(purpose, new Budget.Cap(entries, kib < 0 ? -1 : (long) (1024 * kib))) != null) {
+                throw each.bad("purpose", "\"" + purpose.word() + "\" is there twice");
+            }
+        }
+        return new MemoryTable(status, caps);
+    }
+}
--- a/src/main/java/gatefront/agent/Sources.java
+++ b/src/main/java/gatefront/agent/Sources.java
@@ -1,5 +1,6 @@
 package gatefront.agent;
 
+import gatefront.budget.Account;
 import gatefront.config.Config;
 import gatefront.engine.Engine;
 import gatefront.membership.Endpoint;
@@ -25,15 +26,17 @@
     /**
      * Sources that are not yet followed.
      *
+     * @param held what the registry's keys count as
      * @param listed told when one of them has said what there is
      */
-    Sources(Transport transport, Config config, RegistrySettings settings, Engine engine, Runnable listed) {
+    Sources(Transport transport, Config config, RegistrySettings settings, Account held, Engine engine,
+            Runnable listed) {
         this.engine = engine;
         this.listed = listed;
         this.padron = !settings.instead();
         this.membership = new Membership(padron ? List.of("padrón", "registry") : List.of("registry"), transport::log);
         int place = padron ? PADRON + 1 : 0;
-        this.registry = new RegistryFeed(transport, config, settings, new RegistryFeed.Listener() {
+        this.registry = new RegistryFeed(transport, config, settings, held, new RegistryFeed.Listener() {
             @Override
             public void list(ListKind kind, List<Endpoint> endpoints) {
                 told(place, kind, endpoints);
--- /dev/null
+++ b/src/main/java/gatefront/budget/Account.java
@@ -0,0 +1,116 @@
+package gatefront.budget;
+
+/**
+ * What is held for one purpose, in entries and in bytes. One thread; no allocation. What is taken must be given back by
+ * whoever took it, with the same bytes: {@link Budget#drift} tells where that is not so.
+ */
+public final class Account {
+    private final Purpose purpose;
+    private long entriesCap;
+    private long bytesCap;
+    private long entries;
+    private long bytes;
+    private long entriesHigh;
+    private long bytesHigh;
+    private long turnedAway;
+
+    Account(Purpose purpose, long entriesCap, long bytesCap) {
+        this.purpose = purpose;
+        this.entriesCap = entriesCap;
+        this.bytesCap = bytesCap;
+    }
+
+    /** Takes an entry of so many bytes; false, and nothing taken, if that is over a cap. */
+    public boolean take(long size) {
+        if (entries >= entriesCap || bytes + size > bytesCap) {
+            turnedAway++;
+            return false;
+        }
+        add(1, size);
+        return true;
+    }
+
+    /** Takes more bytes for an entry that is there; false, and nothing taken, if that is over the cap. */
+    public boolean grow(long size) {
+        if (bytes + size > bytesCap) {
+            turnedAway++;
+            return false;
+        }
+        add(0, size);
+        return true;
+    }
+
+    /** Counts what is there whether or not there is room: its owner has other ways to keep to the cap. */
+    public void add(long more, long size) {
+        entries += more;
+        bytes += size;
+        entriesHigh = Math.max(entriesHigh, entries);
+        bytesHigh = Math.max(bytesHigh, bytes);
+    }
+
+    /** So much is held now, where the owner counts it anew each time. */
+    public void set(long nowEntries, long nowBytes) {
+        add(nowEntries - entries, nowBytes - bytes);
+    }
+
+    /** Gives back an entry with what it had taken. */
+    public void give(long size) {
+        entries--;
+        bytes -= size;
+    }
+
+    /** Gives back bytes of an entry that stays. */
+    public void shrink(long size) {
+        bytes -= size;
+    }
+
+    /** Whether as much as may be is held: a cap may have been lowered below it. */
+    public boolean full() {
+        return entries >= entriesCap || bytes >= bytesCap;
+    }
+
+    void cap(long mostEntries, long mostBytes) {
+        entriesCap = mostEntries;
+        bytesCap = mostBytes;
+    }
+
+    /** What it is for. */
+    public Purpose purpose() {
+        return purpose;
+    }
+
+    /** Held now. */
+    public long entries() {
+        return entries;
+    }
+
+    /** Held now, in bytes. */
+    public long bytes() {
+        return bytes;
+    }
+
+    /** Held at the most so far. */
+    public long entriesHigh() {
+        return entriesHigh;
+    }
+
+    /** Held at the most so far, in bytes. */
+    public long bytesHigh() {
+        return bytesHigh;
+    }
+
+    /** Its cap. */
+    public long entriesCap() {
+        return entriesCap;
+    }
+
+    /** Its cap in bytes. */
+    public long bytesCap() {
+        return bytesCap;
+    }
+
+    /** How often there was no room. */
+    public long turnedAway() {
+        return turnedAway;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/budget/Budget.java
@@ -0,0 +1,125 @@
+package gatefront.budget;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * All that an agent holds, by purpose, against what it may hold together. Over the whole it goes by a stated order:
+ * from {@link #TIGHT} of the total on, connections that nobody needs end sooner; from {@link #FULL} on new calls are
+ * refused; what has been taken is finished in any case.
+ */
+public final class Budget {
+    /** The part of the total from which on idle connections end sooner. */
+    public static final double TIGHT = 0.7;
+    /** The part of the total from which on new calls are refused. */
+    public static final double FULL = 0.9;
+    /** A leak of one entry a minute is said after so many minutes. */
+    private static final int RISING = 15;
+    private static final long MINUTE = 60_000_000;
+
+    /** How much of the total is held. */
+    public enum Pressure { /** There is room. */ NONE, /** Idle connections go. */ TIGHT, /** No new calls. */ FULL }
+
+    /** What a purpose really holds, counted one by one. */
+    public record Count(long entries, long bytes) { }
+
+    private final Map<Purpose, Account> accounts = new EnumMap<>(Purpose.class);
+    private final Map<Purpose, Trend> trends = new EnumMap<>(Purpose.class);
+    /** One for each owner; fronts and upstreams of several protocols share an account. */
+    private final Map<Purpose, List<Supplier<Count>>> recounts = new EnumMap<>(Purpose.class);
+    /** The same without a map's iterator: they are summed for each call. */
+    private final Account[] all = new Account[Purpose.values().length];
+    private final long total;
+
+    /** The caps of one purpose; a negative figure is none. */
+    public record Cap(long entries, long bytes) { }
+
+    /**
+     * Nothing is held.
+     *
+     * @param total bytes that all purposes may hold together
+     * @param caps by purpose; those not named have none of their own
+     */
+    public Budget(long total, Map<Purpose, Cap> caps) {
+        this.total = total;
+        for (Purpose each : Purpose.values()) {
+            Cap cap = caps.getOrDefault(each, new Cap(-1, -1));
+            accounts.put(each, new Account(each, cap.entries < 0 ? Long.MAX_VALUE : cap.entries,
+                cap.bytes < 0 ? Long.MAX_VALUE : cap.bytes));
+            all[each.ordinal()] = accounts.get(each);
+            trends.put(each, new Trend(MINUTE, RISING));
+        }
+    }
+
+    /** The account of a purpose; its owner keeps it. */
+    public Account of(Purpose purpose) {
+        return all[purpose.ordinal()];
+    }
+
+    /** Other caps from now on. What is held above them stays, and goes as it would have. */
+    public void caps(Map<Purpose, Cap> caps) {
+        caps.forEach((purpose, cap) -> accounts.get(purpose).cap(cap.entries < 0 ? Long.MAX_VALUE : cap.entries,
+            cap.bytes < 0 ? Long.MAX_VALUE : cap.bytes));
+    }
+
+    /** Bytes held for all purposes. */
+    public long bytes() {
+        long sum = 0;
+        for (Account each : all) {
+            sum += each.bytes();
+        }
+        return sum;
+    }
+
+    /** Bytes that may be held for all of them. */
+    public long total() {
+        return total;
+    }
+
+    /** How much of the total is held. */
+    public Pressure pressure() {
+        long held = bytes();
+        return held >= FULL * total ? Pressure.FULL : held >= TIGHT * total ? Pressure.TIGHT : Pressure.NONE;
+    }
+
+    /** Has an owner count what it holds, for {@link #drift}. */
+    public void recounted(Purpose purpose, Supplier<Count> by) {
+        recounts.computeIfAbsent(purpose, each -> new ArrayList<>()).add(by);
+    }
+
+    /** Where an account is not what its owner holds: a line each. */
+    public List<String> drift() {
+        List<String> lines = new ArrayList<>();
+        recounts.forEach((purpose, by) -> {
+            Account account = accounts.get(purpose);
+            long entries = 0;
+            long bytes = 0;
+            for (Supplier<Count> each : by) {
+                Count count = each.get();
+                entries += count.entries;
+                bytes += count.bytes;
+            }
+            if (entries != account.entries() || bytes != account.bytes()) {
+                lines.add(purpose.word() + " has " + account.entries() + " entries of " + account.bytes()
+                    + " bytes by its account, and " + entries + " of " + bytes + " by count");
+            }
+        });
+        return lines;
+    }
+
+    /** Looks at the floors; a line for each purpose that has only risen for a quarter of an hour. */
+    public List<String> rising(long now) {
+        List<String> lines = new ArrayList<>();
+        accounts.forEach((purpose, account) -> {
+            long risen = trends.get(purpose).seen(now, account.entries());
+            if (risen > 0) {
+                lines.add("held for " + purpose.word() + ": the least of each minute has risen for " + RISING
+                    + " minutes, by " + risen + " to " + account.entries() + " entries; it may be a leak");
+            }
+        });
+        return lines;
+    }
+}
--- a/src/main/java/gatefront/connection/AcceptingFront.java
+++ b/src/main/java/gatefront/connection/AcceptingFront.java
@@ -1,5 +1,8 @@
 package gatefront.connection;
 
+import gatefront.budget.Account;
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
 import gatefront.engine.Front;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
@@ -48,9 +51,6 @@
     /** From this part of the room on those kept are closed sooner, and each answer is a connection's last. */
     private static final double PRESSED = 0.6;
     private static final long SWEEP_MS = 100;
-    /** The part of the heap that bodies of requests may take. */
-    private static final int BODIES_PART = 6;
-
     private final Transport transport;
     private final InetSocketAddress listen;
     private final int connectionsMost;
@@ -59,7 +59,10 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Of these, by what they are at, the longest at it first. */
     private final Map<State, Set<Connection>> at = new EnumMap<>(State.class);
-    private long bodies;
+    private final Budget budget;
+    private final Account callers;
+    private final Account requests;
+    private final Account answers;
     private boolean leaving;
     private boolean draining;
 
@@ -69,8 +72,16 @@
      * @param transport its loop, clock and network
      * @param listen where it listens
      * @param connectionsMost connections held at the most
+     * @param budget of the agent
      */
-    protected AcceptingFront(Transport transport, InetSocketAddress listen, int connectionsMost) {
+    protected AcceptingFront(Transport transport, InetSocketAddress listen, int connectionsMost, Budget budget) {
+        this.budget = budget;
+        this.callers = budget.of(Purpose.CALLER_CONNECTIONS);
+        this.requests = budget.of(Purpose.REQUESTS);
+        this.answers = budget.of(Purpose.ANSWERS);
+        budget.recounted(Purpose.CALLER_CONNECTIONS, () -> new Budget.Count(connections.size(), 0));
+        budget.recounted(Purpose.REQUESTS, () -> new Budget.Count(0,
+            connections.stream().mapToLong(each -> each.held).sum()));
         this.transport = transport;
         this.listen = listen;
         this.connectionsMost = connectionsMost;
@@ -151,15 +162,19 @@
      */
     private void makeRoom() {
         long now = transport.nanos();
-        while (connections.size() - at.get(State.ENDING).size() - at.get(State.FINISHING).size() >= connectionsMost) {
+        while (connections.size() - at.get(State.ENDING).size() - at.get(State.FINISHING).size() >= connectionsMost
+                || callers.full()) {
             Connection first = older(State.SILENT, now - SILENT_LEAST_NANOS);
             first = first == null ? older(State.KEPT, now - KEPT_LEAST_NANOS) : first;
             if (first == null) {
                 break;
             }
             first.close();
+            if (callers.full()) {
+                break; // it goes when what it was sent is written, and the next look finds out
+            }
         }
-        server.config().setAutoRead(connections.size() < connectionsMost);
+        server.config().setAutoRead(connections.size() < connectionsMost && !callers.full());
     }
 
     /** The first of them if it has been there since then. */
@@ -186,7 +201,7 @@
 
     /** Whether room gets scarce: clients that keep their connections without need then have to dial again. */
     private boolean pressed() {
-        return connections.size() >= PRESSED * connectionsMost;
+        return connections.size() >= PRESSED * connectionsMost || budget.pressure() != Budget.Pressure.NONE;
     }
 
     private List<Connection> expired(State state, long nanos) {
@@ -236,23 +251,29 @@
         /** Counts bytes of requests that are held; false, and not counted, if there is no room. */
         protected final boolean hold(int bytes) {
             // Guards against running out of memory.
-            if (bodies + bytes > transport.memory() / BODIES_PART) {
+            if (!requests.grow(bytes)) {
                 return false;
             }
             held += bytes;
-            bodies += bytes;
             return true;
         }
 
         /** Bytes of requests are no longer held. */
         protected final void release(int bytes) {
             held -= bytes;
-            bodies -= bytes;
+            requests.shrink(bytes);
+        }
+
+        /** Writes an answer, which counts as held until it has left for the caller. */
+        protected final ChannelFuture answer(Object message, int bytes) {
+            answers.add(1, bytes);
+            return channel.writeAndFlush(message).addListener(done -> answers.give(bytes));
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
+            callers.add(1, 0);
             move(State.SILENT);
             makeRoom();
         }
@@ -260,6 +281,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
+            callers.give(0);
             move(null);
             deaf = true;
             release(held);
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -1,5 +1,8 @@
 package gatefront.connection;
 
+import gatefront.budget.Account;
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
 import gatefront.engine.Payload;
 import gatefront.engine.Upstream;
 import gatefront.membership.Endpoint;
@@ -53,6 +56,8 @@
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
     private int attempts;
+    private final Account held;
+    private final Account answers;
 
     /** What is kept for one server at one address. */
     private static final class Pool {
@@ -82,9 +87,12 @@
      * @param connectionsMost connections held at the most
      * @param connectTimeoutMicros a connection not up by then has failed
      * @param idleCloseMicros servers close a connection that has been idle for this long
+     * @param budget of the agent
      */
     protected PooledUpstream(Transport transport, int connectionsMost, long connectTimeoutMicros,
-                             long idleCloseMicros) {
+                             long idleCloseMicros, Budget budget) {
+        this.held = budget.of(Purpose.SERVER_CONNECTIONS);
+        this.answers = budget.of(Purpose.SERVER_ANSWERS);
         this.transport = transport;
         this.loop = transport.loop();
         this.connectionsMost = connectionsMost;
@@ -179,7 +187,7 @@
 
     /** Makes room under the limit on sockets by closing the connection that has been idle for longest. */
     private boolean roomForOne() {
-        if (connections < connectionsMost) {
+        if (connections < connectionsMost && !held.full()) {
             return true;
         }
         Connection oldest = null;
@@ -193,7 +201,7 @@
             return false;
         }
         oldest.channel.close();
-        return connections < connectionsMost;
+        return connections < connectionsMost && !held.full();
     }
 
     /** Takes the most recently used connection that has rested and was silent meanwhile, or none. */
@@ -277,9 +285,13 @@
             Connection fresh = new Connection(pool);
             pool.connecting.add(this);
             connections++;
+            held.add(1, 0);
             var connecting = bootstrap.clone().handler(fresh).connect(pool.address);
             dialled = connecting.channel();
-            dialled.closeFuture().addListener(closed -> connections--);
+            dialled.closeFuture().addListener(closed -> {
+                connections--;
+                held.give(0);
+            });
             connecting.addListener(done -> {
                 pool.connecting.remove(this);
                 if (ended) {
@@ -376,8 +388,10 @@
     }
 
     /** Turns what arrives on a connection into the outcome of its attempt. */
-    protected abstract static class Reader extends SimpleChannelInboundHandler<Object> {
+    protected abstract class Reader extends SimpleChannelInboundHandler<Object> {
         private final Connection connection;
+        /** Bytes of an answer that has come in part. */
+        private int part;
 
         /** Of this connection. */
         protected Reader(Connection connection) {
@@ -401,8 +415,24 @@
             }
         }
 
+        /** Counts bytes of an answer that is not yet whole; false, and not counted, if there is no room. */
+        protected final boolean hold(int bytes) {
+            if (!answers.grow(bytes)) {
+                return false;
+            }
+            part += bytes;
+            return true;
+        }
+
+        /** The answer is whole and handed on, or nothing of it is kept. */
+        protected final void release() {
+            answers.shrink(part);
+            part = 0;
+        }
+
         @Override
         public final void channelInactive(ChannelHandlerContext ctx) {
+            release();
             connection.pool.idle.remove(connection);
             if (connection.attempt != null) {
                 connection.attempt.broken();
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -1,5 +1,8 @@
 package gatefront.engine;
 
+import gatefront.budget.Account;
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer;
 import gatefront.policy.Rules;
@@ -36,6 +39,9 @@
     private final List<Upstream> upstreams;
     private final Source source;
     private final Balancer balancer;
+    private final Budget budget;
+    private final Account calls;
+    private final Account listed;
     /**
      * Calls taken and not yet done with, by the module's ids, by their exchanges and by their callers' ids: each
      * goes when it is answered and no attempt is out, which its own guard sees to at its deadline at the latest.
@@ -89,10 +95,16 @@
      * @param seed for its random choices
      * @param upstreams the ways to the servers, one for each protocol; the first is asked for their health
      * @param source where the list comes from; it may be asked before this returns
+     * @param budget of the agent
      * @param module makes the decision module
      */
     public Engine(Transport transport, Balancer.Settings settings, long seed, List<Upstream> upstreams,
-                  Source source, Function<Engine, Balancer> module) {
+                  Source source, Budget budget, Function<Engine, Balancer> module) {
+        this.budget = budget;
+        this.calls = budget.of(Purpose.CALLS);
+        this.listed = budget.of(Purpose.SERVERS);
+        budget.recounted(Purpose.CALLS, () -> new Budget.Count(open.size(), 0));
+        budget.recounted(Purpose.SERVERS, () -> new Budget.Count(names.size(), 0));
         this.transport = transport;
         this.settings = settings;
         this.seed = seed;
@@ -169,20 +181,46 @@
 
     /** The list of servers has changed; {@link Balancer.ListKind#FAILED} and no entries if it could not be had. */
     public void servers(Balancer.ListKind kind, List<Endpoint> endpoints) {
+        List<Endpoint> taken = room(endpoints);
         Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA || kind == Balancer.ListKind.FAILED
             ? Set.of() : names.keySet());
-        for (Endpoint endpoint : endpoints) {
+        for (Endpoint endpoint : taken) {
             long id = endpoint.server().id();
             gone.remove(id);
-            names.put(id, endpoint.name());
+            if (names.put(id, endpoint.name()) == null) {
+                listed.add(1, 0);
+            }
             upstreams.forEach(each -> each.listed(endpoint));
         }
         gone.forEach(id -> upstreams.forEach(each -> each.gone(id)));
-        List<Balancer.Server> entries = endpoints.stream().map(Endpoint::server).toList();
+        List<Balancer.Server> entries = taken.stream().map(Endpoint::server).toList();
         event(() -> balancer.servers(now(), kind, entries));
-        endpoints.stream().map(Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
+        taken.stream().map(Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
             .forEach(each -> gone.add(each.id()));
-        names.keySet().removeAll(gone);
+        gone.forEach(id -> {
+            if (names.remove(id) != null) {
+                listed.give(0);
+            }
+        });
+    }
+
+    /** What of a list there is room for: changes of known servers always, for a drain may be among them. */
+    private List<Endpoint> room(List<Endpoint> endpoints) {
+        if (names.size() + endpoints.size() <= listed.entriesCap()) {
+            return endpoints;
+        }
+        List<Endpoint> taken = new ArrayList<>();
+        long fresh = listed.entriesCap() - names.size();
+        for (Endpoint each : endpoints) {
+            if (names.containsKey(each.server().id()) || fresh-- > 0) {
+                taken.add(each);
+            }
+        }
+        if (taken.size() < endpoints.size()) {
+            say("list: " + (endpoints.size() - taken.size()) + " servers are not taken, more than the "
+                + listed.entriesCap() + " that may be held");
+        }
+        return taken;
     }
 
     /** What a front hands its calls to, for them to go to the servers by an upstream. */
@@ -207,6 +245,11 @@
             exchange.failed(Exchange.Failure.DUPLICATE);
             return;
         }
+        // Guards against falling over with all that is held: what is new is turned away, and told when to come back.
+        if (budget.pressure() == Budget.Pressure.FULL || budget.of(Purpose.ANSWERS).full() || !calls.take(0)) {
+            exchange.refused(RETRY_AFTER_MICROS);
+            return;
+        }
         long id = nextId++;
         Pending pending = new Pending(id, call, exchange, upstream);
         open.put(id, pending);
@@ -261,7 +304,9 @@
 
     private void forget(Pending pending) {
         if (pending.answered && pending.out == 0) {
-            open.remove(pending.id);
+            if (open.remove(pending.id) != null) {
+                calls.give(0);
+            }
             byName.remove(pending.call.id(), pending);
         }
     }
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -1,5 +1,6 @@
 package gatefront.http;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.AcceptingFront;
 import gatefront.engine.Call;
@@ -64,8 +65,8 @@
 
     /** Listens to nobody yet; {@link #listen()} begins. */
     public HttpFront(Transport transport, Config config, int connectionsMost, BooleanSupplier ready,
-                     Listener listener) {
-        super(transport, config.listen(), connectionsMost);
+                     Budget budget, Listener listener) {
+        super(transport, config.listen(), connectionsMost, budget);
         this.transport = transport;
         this.config = config;
         this.listener = listener;
@@ -138,7 +139,7 @@
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            connection.answered(this, connection.write(response), last);
+            connection.answered(this, connection.write(response, body.readableBytes()), last);
         }
 
         /** The same without a body. */
@@ -163,8 +164,8 @@
             this.decoder = decoder;
         }
 
-        private ChannelFuture write(Object response) {
-            return channel.writeAndFlush(response);
+        private ChannelFuture write(Object response, int bytes) {
+            return answer(response, bytes);
         }
 
         @Override
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -1,5 +1,6 @@
 package gatefront.http;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.LoadReport;
 import gatefront.connection.PooledUpstream;
@@ -49,8 +50,8 @@
     private final Outgoing probe;
 
     /** Holds so many connections at the most. */
-    public HttpUpstream(Transport transport, Config config, int connectionsMost) {
-        super(transport, connectionsMost, config.connectTimeoutMicros(), config.idleCloseMicros());
+    public HttpUpstream(Transport transport, Config config, int connectionsMost, Budget budget) {
+        super(transport, connectionsMost, config.connectTimeoutMicros(), config.idleCloseMicros(), budget);
         load = new LoadReport(config.loadFields());
         probe = new Outgoing(HttpMethod.GET, config.loadByProbe() ? "/load" : "/healthz",
             new DefaultHttpHeaders(), NO_BODY);
@@ -136,7 +137,8 @@
         }
 
         private boolean add(HttpContent content) {
-            if (body.readableBytes() + content.content().readableBytes() > BODY_MAX) {
+            int n = content.content().readableBytes();
+            if (body.readableBytes() + n > BODY_MAX || !hold(n)) {
                 return false;
             }
             body.writeBytes(content.content());
@@ -146,6 +148,7 @@
         private void finish(Attempt attempt, HttpResponse whole) {
             byte[] bytes = ByteBufUtil.getBytes(body);
             body.clear().capacity(0);
+            release();
             HttpHeaders headers = whole.headers();
             int status = whole.status().code();
             boolean turnedAway = (status == 503 || status == 504) && "1".equals(headers.get("Not-Started"));
--- a/src/main/java/gatefront/registry/RegistryFeed.java
+++ b/src/main/java/gatefront/registry/RegistryFeed.java
@@ -1,5 +1,6 @@
 package gatefront.registry;
 
+import gatefront.budget.Account;
 import gatefront.config.Config;
 import gatefront.membership.Endpoint;
 import gatefront.membership.Policy;
@@ -35,6 +36,7 @@
     private final Listener listener;
     private final RegistryClient client;
     private final NodoValues values;
+    private final Account held;
     /** Writes the state, since the loop must not wait for a disk; null where none is kept. */
     private final ExecutorService disk;
     private boolean saving;
@@ -45,9 +47,12 @@
      * @param transport its loop, clock and network
      * @param config knows zones and kinds, and the seed of this agent
      * @param settings which registry
+     * @param held what the keys count as
      * @param listener told on the loop
      */
-    public RegistryFeed(Transport transport, Config config, RegistrySettings settings, Listener listener) {
+    public RegistryFeed(Transport transport, Config config, RegistrySettings settings, Account held,
+                        Listener listener) {
+        this.held = held;
         this.transport = transport;
         this.settings = settings;
         this.listener = listener;
@@ -55,6 +60,7 @@
         this.client = new RegistryClient(transport, settings, config.seed(), new RegistryClient.Listener() {
             @Override
             public void changed(boolean full, List<Change> changes, Map<String, Entry> all) {
+                held.set(all.size(), 0);
                 tell(full ? ListKind.FULL : ListKind.DELTA, changes);
                 save();
             }
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.agent.Extensions;
+import gatefront.budget.Budget;
 import gatefront.policy.Balancer.Semantics;
 import gatefront.rehearsal.net.Machine;
 import gatefront.rehearsal.plan.Plan;
@@ -42,7 +43,7 @@
 
     /** What it does besides. */
     final Extensions besides() {
-        return new Extensions(thrift(), day.padron.registry(number));
+        return new Extensions(thrift(), day.padron.registry(number), null);
     }
 
     /** How it speaks Thrift, or null if it does not. */
@@ -86,6 +87,11 @@
 
     abstract void end();
 
+    /** What it holds, or null where that cannot be seen. */
+    Budget budget() {
+        return null;
+    }
+
     /** Asks it to end in order, as SIGTERM does; {@code then} runs when it has. */
     abstract void leave(Runnable then);
 
--- a/src/main/java/gatefront/rehearsal/Record.java
+++ b/src/main/java/gatefront/rehearsal/Record.java
@@ -1,5 +1,6 @@
 package gatefront.rehearsal;
 
+import gatefront.budget.Budget;
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Patience;
@@ -54,6 +55,7 @@
     final List<Told> told = new ArrayList<>();
     final List<Band> bands = new ArrayList<>();
     final List<Note> notes = new ArrayList<>();
+    final Held held;
     private final Cast cast;
     private long opensAt;
     /** Connections that nodos have closed because they were in no use. */
@@ -76,6 +78,7 @@
         this.listTurnedAway = new int[seconds];
         this.fullest = new int[seconds];
         this.coldest = new double[seconds];
+        this.held = new Held(seconds);
     }
 
     void opens(long at) {
@@ -192,9 +195,15 @@
         }
     }
 
-    /** Looks at the nodos, once a second. */
-    void sample(long now, List<NodoStand> nodos) {
+    /** Looks at the nodos and the agents, once a second. */
+    void sample(long now, List<NodoStand> nodos, List<AgentStand> agents) {
         int at = second(now);
+        for (AgentStand each : agents) {
+            Budget budget = each.budget();
+            if (budget != null) {
+                held.seen(at, budget);
+            }
+        }
         for (NodoStand each : nodos) {
             know(each.number());
             load.get(each.number())[at] = each.up()
--- a/src/main/java/gatefront/rehearsal/Rehearsal.java
+++ b/src/main/java/gatefront/rehearsal/Rehearsal.java
@@ -1,5 +1,7 @@
 package gatefront.rehearsal;
 
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
 import gatefront.engine.Engine;
 import gatefront.policy.Balancer;
 import gatefront.rehearsal.net.Host;
@@ -32,6 +34,11 @@
     /** Segments tell when they were sent; what is left is the rounding to microseconds. */
     private static final long SLACK = 1_000;
     private static final int LINES_MOST = 2_000;
+    /** On a day of an hour or more nothing that is held may go on rising. */
+    private static final double SOAK_SECONDS = 3_600;
+    /** Of these nothing is held once nobody asks anything. */
+    private static final List<Purpose> PASSING = List.of(Purpose.REQUESTS, Purpose.CALLS, Purpose.ANSWERS,
+        Purpose.SERVER_ANSWERS);
     /** Timers that an agent with nothing to do may have: its own, and for each nodo listed. */
     private static final int TIMERS_MOST = 16;
     private static final int TIMERS_A_NODO = 2;
@@ -133,7 +140,7 @@
         next(day, demand, opensAt);
         Timetable.schedule(day, opensAt);
         for (int s = 0; s < day.record.seconds; s++) {
-            day.at(opensAt + s * 1_000_000L + 500_000, () -> day.record.sample(day.now(), day.nodos));
+            day.at(opensAt + s * 1_000_000L + 500_000, () -> day.record.sample(day.now(), day.nodos, day.agents));
         }
     }
 
@@ -157,11 +164,25 @@
                 day.checker.left(day.now(), each.name() + " still holds " + held.requests() + " requests and "
                     + held.attempts() + " attempts");
             }
+            Budget budget = each.budget();
+            if (budget != null) {
+                budget.drift().forEach(line -> day.checker.left(day.now(), each.name() + ": " + line));
+                for (Purpose purpose : PASSING) {
+                    if (budget.of(purpose).entries() != 0 || budget.of(purpose).bytes() != 0) {
+                        day.checker.left(day.now(), each.name() + " still accounts for "
+                            + budget.of(purpose).entries() + " entries of " + budget.of(purpose).bytes() + " bytes of "
+                            + purpose.word());
+                    }
+                }
+            }
             if (held != null && held.servers() > day.padron.listed().size()) {
                 day.checker.left(day.now(), each.name() + " keeps something for " + held.servers()
                     + " nodos, of which " + day.padron.listed().size() + " are listed");
             }
         }
+        if (plan.seconds() >= SOAK_SECONDS) {
+            day.record.held.rising().forEach(line -> day.checker.left(day.now(), line));
+        }
         if (day.record.open() > 0) {
             day.checker.left(day.now(), day.record.open() + " callers still wait");
         }
--- a/src/main/java/gatefront/rehearsal/Report.java
+++ b/src/main/java/gatefront/rehearsal/Report.java
@@ -83,6 +83,7 @@
                 targets.add(target + 1);
             }
         }
+        record.held.json(root.putObject("held"));
         seconds(root, record);
         nodos(root, record);
         ArrayNode notes = root.putArray("notes");
--- a/src/main/java/gatefront/rehearsal/VirtualAgent.java
+++ b/src/main/java/gatefront/rehearsal/VirtualAgent.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal;
 
 import gatefront.agent.Agent;
+import gatefront.budget.Budget;
 import gatefront.engine.Engine;
 import gatefront.config.Config;
 import gatefront.policy.Balancer;
@@ -79,6 +80,11 @@
         }
     }
 
+    @Override
+    Budget budget() {
+        return agent == null ? null : agent.budget();
+    }
+
     /** What it holds, or null if it does not run. */
     Engine.Held held() {
         return agent == null ? null : agent.held();
--- /dev/null
+++ b/src/main/java/gatefront/status/StatusPage.java
@@ -0,0 +1,58 @@
+package gatefront.status;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.budget.Account;
+import gatefront.budget.Budget;
+import gatefront.budget.Purpose;
+import java.util.Locale;
+
+/** What is held, by purpose, as text and as JSON. */
+public final class StatusPage {
+    private StatusPage() { }
+
+    /** A line for each purpose: entries and bytes now, the highest, the cap, and how often there was no room. */
+    public static String text(Budget budget) {
+        StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%-20s %9s %9s %9s %12s %12s %12s %11s%n",
+            "purpose", "entries", "highest", "cap", "bytes", "highest", "cap", "turned away"));
+        for (Purpose each : Purpose.values()) {
+            Account a = budget.of(each);
+            out.append(String.format(Locale.ROOT, "%-20s %9d %9d %9s ", each.word(), a.entries(), a.entriesHigh(),
+                cap(a.entriesCap())));
+            out.append(String.format(Locale.ROOT, "%12d %12d %12s %11d%n", a.bytes(), a.bytesHigh(),
+                cap(a.bytesCap()), a.turnedAway()));
+        }
+        Runtime jvm = Runtime.getRuntime();
+        return out.append(String.format(Locale.ROOT, "all purposes         %d of %d bytes, pressure %s%n",
+            budget.bytes(), budget.total(), budget.pressure().name().toLowerCase(Locale.ROOT)))
+            .append(String.format(Locale.ROOT, "heap                 %d of %d bytes, garbage with it%n",
+                jvm.totalMemory() - jvm.freeMemory(), jvm.maxMemory())).toString();
+    }
+
+    private static String cap(long cap) {
+        return cap == Long.MAX_VALUE ? "-" : String.valueOf(cap);
+    }
+
+    /** The same as JSON; a cap that there is not is left out. */
+    public static ObjectNode json(Budget budget) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        ObjectNode purposes = root.putObject("purposes");
+        for (Purpose each : Purpose.values()) {
+            Account a = budget.of(each);
+            ObjectNode one = purposes.putObject(each.word()).put("entries", a.entries())
+                .put("entries_highest", a.entriesHigh()).put("bytes", a.bytes()).put("bytes_highest", a.bytesHigh())
+                .put("turned_away", a.turnedAway());
+            if (a.entriesCap() != Long.MAX_VALUE) {
+                one.put("entries_cap", a.entriesCap());
+            }
+            if (a.bytesCap() != Long.MAX_VALUE) {
+                one.put("bytes_cap", a.bytesCap());
+            }
+        }
+        root.put("bytes", budget.bytes()).put("bytes_total", budget.total())
+            .put("pressure", budget.pressure().name().toLowerCase(Locale.ROOT));
+        Runtime jvm = Runtime.getRuntime();
+        root.put("heap_used", jvm.totalMemory() - jvm.freeMemory()).put("heap_most", jvm.maxMemory());
+        return root;
+    }
+}
--- a/src/main/java/gatefront/thrift/ThriftFront.java
+++ b/src/main/java/gatefront/thrift/ThriftFront.java
@@ -1,5 +1,6 @@
 package gatefront.thrift;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.AcceptingFront;
 import gatefront.engine.Call;
@@ -44,8 +45,8 @@
 
     /** Listens to nobody yet; {@link #listen()} begins. */
     public ThriftFront(Transport transport, Config config, ThriftSettings settings, int connectionsMost,
-                       BooleanSupplier ready, Listener listener) {
-        super(transport, settings.listen(), connectionsMost);
+                       BooleanSupplier ready, Budget budget, Listener listener) {
+        super(transport, settings.listen(), connectionsMost, budget);
         this.transport = transport;
         this.config = config;
         this.settings = settings;
@@ -251,7 +252,7 @@
             inFlight.remove(call.header().seqid());
             release(call.body().length);
             ChannelFuture written = call.header().type() == Header.Type.ONEWAY ? null
-                : channel.writeAndFlush(reply(call, type, body));
+                : answer(reply(call, type, body), body.length);
             if (closing() && !deaf) {
                 deaf = true; // Guards against a caller that goes on asking, whose connection would never end.
                 channel.config().setAutoRead(false);
--- a/src/main/java/gatefront/thrift/ThriftUpstream.java
+++ b/src/main/java/gatefront/thrift/ThriftUpstream.java
@@ -1,5 +1,6 @@
 package gatefront.thrift;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.LoadReport;
 import gatefront.connection.PooledUpstream;
@@ -34,8 +35,9 @@
     private final Payload probe;
 
     /** Holds so many connections at the most. */
-    public ThriftUpstream(Transport transport, Config config, ThriftSettings settings, int connectionsMost) {
-        super(transport, connectionsMost, config.connectTimeoutMicros(), config.idleCloseMicros());
+    public ThriftUpstream(Transport transport, Config config, ThriftSettings settings, int connectionsMost,
+                          Budget budget) {
+        super(transport, connectionsMost, config.connectTimeoutMicros(), config.idleCloseMicros(), budget);
         this.settings = settings;
         this.load = new LoadReport(config.loadFields());
         this.probe = new ThriftCall(new Message(Encoding.BINARY, new Header(Conventions.HEALTH, Header.Type.CALL, 0),
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -14,7 +14,7 @@
     private static final JavaClasses CODE = new ClassFileImporter()
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gatefront");
     private static final String[] PURE = {"gatefront.policy..", "gatefront.rehearsal.world..",
-        "gatefront.rehearsal.check..", "gatefront.registry.follower.."};
+        "gatefront.rehearsal.check..", "gatefront.registry.follower..", "gatefront.budget.."};
 
     @Test
     void arrowsPointOneWay() {
@@ -29,6 +29,8 @@
         .layer("thrift").definedBy("gatefront.thrift")
         .layer("thrift codec").definedBy("gatefront.thrift.codec..")
         .layer("padron").definedBy("gatefront.padron..")
+        .layer("budget").definedBy("gatefront.budget..")
+        .layer("status").definedBy("gatefront.status..")
         .layer("registry").definedBy("gatefront.registry")
         .layer("follower").definedBy("gatefront.registry.follower..")
         .layer("codec").definedBy("gatefront.http.codec..")
@@ -40,15 +42,18 @@
         .whereLayer("cli").mayNotBeAccessedByAnyLayer()
         .whereLayer("drill").mayOnlyBeAccessedByLayers("cli")
         .whereLayer("rehearsal").mayOnlyBeAccessedByLayers("cli")
-        .whereLayer("connection").mayOnlyAccessLayers("engine", "membership", "policy", "transport")
-        .whereLayer("engine").mayOnlyAccessLayers("membership", "policy", "transport")
+        .whereLayer("connection").mayOnlyAccessLayers("budget", "engine", "membership", "policy", "transport")
+        .whereLayer("engine").mayOnlyAccessLayers("budget", "membership", "policy", "transport")
             .whereLayer("agent").mayOnlyBeAccessedByLayers("cli", "rehearsal")
         .whereLayer("http").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("thrift").mayOnlyBeAccessedByLayers("agent", "rehearsal")
         .whereLayer("thrift codec").mayNotAccessAnyLayer()
         .whereLayer("padron").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("registry").mayOnlyBeAccessedByLayers("agent", "cli", "rehearsal")
-        .whereLayer("registry").mayOnlyAccessLayers("follower", "codec", "config", "membership", "policy", "transport")
+        .whereLayer("registry").mayOnlyAccessLayers("budget", "follower", "codec", "config", "membership", "policy", "transport")
+        .whereLayer("budget").mayNotAccessAnyLayer()
+        .whereLayer("status").mayOnlyBeAccessedByLayers("agent", "cli")
+        .whereLayer("status").mayOnlyAccessLayers("budget", "transport")
         .whereLayer("follower").mayNotAccessAnyLayer()
         .whereLayer("toml").mayNotAccessAnyLayer()
         .whereLayer("policy").mayNotAccessAnyLayer()
--- /dev/null
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -0,0 +1,222 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gatefront.budget.Purpose;
+import gatefront.config.Config;
+import gatefront.toml.TomlException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Each purpose is driven to its cap on sockets: the stated behaviour, and the account at its base afterwards. */
+class MemoryTest {
+    private Stage stage;
+    private final CountDownLatch release = new CountDownLatch(1);
+
+    @BeforeEach
+    void set() throws IOException {
+        stage = new Stage();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        release.countDown();
+        stage.close();
+    }
+
+    private Stage start(String caps) throws IOException, TomlException {
+        return stage.start(Extensions.parse("x.toml", "[memory]\nstatus = \"127.0.0.1:0\"\n" + caps,
+            Config.of(stage.config)));
+    }
+
+    private static String cap(Purpose purpose, String figures) {
+        return "[[memory.caps]]\npurpose = \"" + purpose.word() + "\"\n" + figures + "\n";
+    }
+
+    private JsonNode held(Purpose purpose) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), stage.agent.statusAddress().getPort())) {
+            Peer.write(socket, "GET /status.json HTTP/1.1\r\nHost: a\r\n\r\n");
+            return new ObjectMapper().readTree(Peer.read(socket.getInputStream()).text()).get("purposes")
+                .get(purpose.word());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void empties(Purpose purpose) {
+        Stage.await(() -> held(purpose).get("entries").asLong() == 0 && held(purpose).get("bytes").asLong() == 0);
+    }
+
+    private List<CompletableFuture<Peer.Message>> together(int n, String kind, String body) {
+        List<CompletableFuture<Peer.Message>> answers = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            CompletableFuture<Peer.Message> answer = new CompletableFuture<>();
+            answers.add(answer);
+            String request = stage.request(kind, 8_000, body);
+            Peer.daemon(() -> answer.complete(Stage.exchange(stage.dial(), request)));
+        }
+        return answers;
+    }
+
+    private Peer slow() throws IOException {
+        return stage.server((message, socket) -> {
+            release.await();
+            Peer.answer(socket, 200, "", "served");
+        });
+    }
+
+    @Test
+    void callsOverTheirCapAreRefusedAtOnceAndTheRestAreServed() throws Exception {
+        slow();
+        start(cap(Purpose.CALLS, "entries = 1"));
+        CompletableFuture<Peer.Message> first = together(1, "lookup", "").get(0);
+        Stage.await(() -> held(Purpose.CALLS).get("entries").asLong() == 1);
+        Peer.Message refused = stage.call("lookup");
+        assertEquals(503, refused.status());
+        assertNotNull(refused.header("Retry-After"));
+        release.countDown();
+        assertEquals(200, first.get().status());
+        empties(Purpose.CALLS);
+        assertEquals(1, held(Purpose.CALLS).get("turned_away").asLong());
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    @Test
+    void bodiesOverTheirCapAreRefusedAndGivenBack() throws Exception {
+        slow();
+        start(cap(Purpose.REQUESTS, "kib = 4"));
+        CompletableFuture<Peer.Message> first = together(1, "pay", "x".repeat(3_000)).get(0);
+        Stage.await(() -> held(Purpose.REQUESTS).get("bytes").asLong() == 3_000);
+        Peer.Message refused = Stage.exchange(stage.dial(), stage.request("pay", 8_000, "x".repeat(2_000)));
+        assertEquals(503, refused.status());
+        assertNotNull(refused.header("Retry-After"));
+        release.countDown();
+        assertEquals(200, first.get().status());
+        empties(Purpose.REQUESTS);
+        assertEquals(3_000, held(Purpose.REQUESTS).get("bytes_highest").asLong());
+    }
+
+    @Test
+    void anAnswerOverTheCapEndsItsAttemptAndIsGivenBack() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "x".repeat(8_000)));
+        start(cap(Purpose.SERVER_ANSWERS, "kib = 4"));
+        assertEquals(502, Stage.exchange(stage.dial(), stage.request("order", 2_000, "")).status());
+        empties(Purpose.SERVER_ANSWERS);
+        assertTrue(held(Purpose.SERVER_ANSWERS).get("turned_away").asLong() > 0);
+    }
+
+    /** A caller that never reads its answers: what it leaves counts, and new calls are refused while it is too much. */
+    @Test
+    void answersThatNobodyReadsTurnNewCallsAway() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "x".repeat(60_000)));
+        start(cap(Purpose.ANSWERS, "kib = 200"));
+        List<Socket> deaf = new ArrayList<>();
+        for (int i = 0; i < 40 && held(Purpose.ANSWERS).get("bytes").asLong() < 200 << 10; i++) {
+            Socket socket = new Socket();
+            socket.setReceiveBufferSize(4_096);
+            socket.connect(stage.agent.address());
+            deaf.add(socket);
+            StringBuilder many = new StringBuilder();
+            for (int j = 0; j < 60; j++) {
+                many.append(stage.request("lookup", 8_000, ""));
+            }
+            Peer.write(socket, many.toString());
+            Thread.sleep(20);
+        }
+        Stage.await(() -> held(Purpose.ANSWERS).get("bytes").asLong() >= 200 << 10);
+        Peer.Message refused = stage.call("lookup");
+        assertEquals(503, refused.status());
+        assertNotNull(refused.header("Retry-After"));
+        for (Socket each : deaf) {
+            each.close();
+        }
+        empties(Purpose.ANSWERS);
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    @Test
+    void callersOverTheirCapWaitUntilOneGoes() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start(cap(Purpose.CALLER_CONNECTIONS, "entries = 3"));
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, stage.call("lookup").status(), "those kept without need make room");
+        }
+        assertTrue(held(Purpose.CALLER_CONNECTIONS).get("entries_highest").asLong() <= 5);
+        stage.hangUp();
+        Stage.await(() -> held(Purpose.CALLER_CONNECTIONS).get("entries").asLong() == 0);
+    }
+
+    @Test
+    void connectionsToServersOverTheirCapAreNotMade() throws Exception {
+        slow();
+        start(cap(Purpose.SERVER_CONNECTIONS, "entries = 2"));
+        List<CompletableFuture<Peer.Message>> answers = together(6, "lookup", "");
+        Stage.await(() -> held(Purpose.SERVER_CONNECTIONS).get("entries").asLong() == 2);
+        release.countDown();
+        for (CompletableFuture<Peer.Message> each : answers) {
+            assertTrue(List.of(200, 502, 503, 504).contains(each.get().status()), "each gets one final answer");
+        }
+        assertEquals(2, held(Purpose.SERVER_CONNECTIONS).get("entries_highest").asLong());
+    }
+
+    @Test
+    void serversOverTheirCapAreNotTakenAndKnownOnesStayWhatTheyAre() throws Exception {
+        Peer first = stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        Peer second = stage.peer((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start(cap(Purpose.SERVERS, "entries = 1"));
+        stage.news.add(Stage.delta(1, Stage.endpoint(2, second.address(), "Ready")));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, stage.call("lookup").status());
+        }
+        assertEquals(0, second.requests.size());
+        assertEquals(1, held(Purpose.SERVERS).get("entries").asLong());
+        stage.news.add(Stage.delta(2, Stage.endpoint(1, first.address(), "Gone")));
+        empties(Purpose.SERVERS);
+    }
+
+    @Test
+    void thePageIsForPeopleTooAndSaysWhatElseThereIs() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start("");
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), stage.agent.statusAddress().getPort())) {
+            Peer.write(socket, "GET /status HTTP/1.1\r\nHost: a\r\n\r\n");
+            String text = Peer.read(socket.getInputStream()).text();
+            for (Purpose each : Purpose.values()) {
+                assertTrue(text.contains(each.word()), text);
+            }
+        }
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), stage.agent.statusAddress().getPort())) {
+            Peer.write(socket, "GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertEquals(404, Peer.read(socket.getInputStream()).status());
+        }
+    }
+
+    @Test
+    void whatIsWrongInTheTableIsOneLine() {
+        for (List<String> each : List.of(
+                List.of("status = \"10.0.0.1:1\"", "x.toml:2: memory.status: is to be a loopback address"),
+                List.of("status = \"here\"", "x.toml:2: memory.status: is to be a literal address"),
+                List.of("[[memory.caps]]\npurpose = \"cals\"\nentries = 3",
+                    "x.toml:3: memory.caps.0.purpose: \"cals\" is none of"),
+                List.of("[[memory.caps]]\npurpose = \"calls\"", "memory.caps.0.entries: is missing"),
+                List.of("[[memory.caps]]\npurpose = \"calls\"\nentries = 0",
+                    "memory.caps.0.entries: 0 is not within 1"))) {
+            String message = assertThrows(TomlException.class, () -> Extensions.parse("x.toml",
+                "[memory]\n" + each.get(0) + "\n", Config.of(stage.config))).getMessage();
+            assertTrue(message.contains(each.get(1)) && message.lines().count() == 1, message);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gatefront/budget/BudgetTest.java
@@ -0,0 +1,113 @@
+package gatefront.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Accounts, caps, floors. */
+class BudgetTest {
+    private static final long MINUTE = 60_000_000;
+
+    @Test
+    void aCapHoldsAndTellsHowOften() {
+        Account account = new Budget(1_000, Map.of(Purpose.CALLS, new Budget.Cap(2, 100))).of(Purpose.CALLS);
+        assertTrue(account.take(60));
+        assertFalse(account.take(41), "over the bytes");
+        assertTrue(account.take(40));
+        account.give(40);
+        assertTrue(account.take(1));
+        assertFalse(account.take(0), "over the entries");
+        assertTrue(account.full());
+        assertFalse(account.grow(40));
+        account.give(60);
+        account.give(1);
+        assertEquals(List.of(0L, 0L, 2L, 100L, 3L), List.of(account.entries(), account.bytes(), account.entriesHigh(),
+            account.bytesHigh(), account.turnedAway()));
+    }
+
+    @Test
+    void aCapLoweredBelowWhatIsHeldTakesNothingNewAndLosesNothing() {
+        Budget budget = new Budget(1_000, Map.of());
+        Account account = budget.of(Purpose.CALLS);
+        for (int i = 0; i < 10; i++) {
+            assertTrue(account.take(5));
+        }
+        budget.caps(Map.of(Purpose.CALLS, new Budget.Cap(4, -1)));
+        for (int held = 10; held > 4; held--) {
+            assertFalse(account.take(5));
+            account.give(5);
+        }
+        assertFalse(account.take(5));
+        account.give(5);
+        assertTrue(account.take(5));
+    }
+
+    @Test
+    void theWholeGoesByAStatedOrder() {
+        Budget budget = new Budget(1_000, Map.of());
+        budget.of(Purpose.REQUESTS).add(1, 699);
+        assertEquals(Budget.Pressure.NONE, budget.pressure());
+        budget.of(Purpose.ANSWERS).add(1, 1);
+        assertEquals(Budget.Pressure.TIGHT, budget.pressure());
+        budget.of(Purpose.SERVER_ANSWERS).add(1, 200);
+        assertEquals(Budget.Pressure.FULL, budget.pressure());
+        budget.of(Purpose.REQUESTS).give(699);
+        assertEquals(Budget.Pressure.NONE, budget.pressure());
+    }
+
+    @Test
+    void anAccountThatDriftsIsNamed() {
+        Budget budget = new Budget(1_000, Map.of());
+        budget.recounted(Purpose.CALLS, () -> new Budget.Count(2, 10));
+        budget.recounted(Purpose.CALLS, () -> new Budget.Count(1, 0));
+        budget.of(Purpose.CALLS).add(3, 10);
+        assertEquals(List.of(), budget.drift());
+        budget.of(Purpose.CALLS).give(0);
+        assertEquals(List.of("calls has 2 entries of 10 bytes by its account, and 3 of 10 by count"), budget.drift());
+    }
+
+    /** A load that swings by the hour, and one entry a minute that never goes: said within half an hour. */
+    @Test
+    void aLeakOfOneAMinuteIsFoundUnderAShiftingLoad() {
+        for (int seed = 0; seed < 50; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Budget budget = new Budget(1_000, Map.of());
+            Account account = budget.of(Purpose.CALLS);
+            long leaked = 0;
+            long saidAfter = -1;
+            for (int second = 0; second < 3 * 3_600 && saidAfter < 0; second++) {
+                leaked = Math.max(0, second - 3_600) / 60;
+                long load = random.nextInt(4) == 0 ? 0 : random.nextInt(50);
+                account.set(leaked + load, 0);
+                List<String> lines = budget.rising(second * 1_000_000L);
+                if (!lines.isEmpty()) {
+                    assertTrue(second > 3_600, "said before there was a leak, seed " + seed);
+                    assertTrue(lines.get(0).startsWith("held for calls: the least of each minute has risen"));
+                    saidAfter = second - 3_600;
+                }
+            }
+            assertTrue(saidAfter >= 0 && saidAfter <= 1_800, "seed " + seed + ": " + saidAfter);
+        }
+    }
+
+    @Test
+    void aMorningThatFillsUpIsNoLeak() {
+        Trend trend = new Trend(MINUTE, 15);
+        List<Long> said = new ArrayList<>();
+        for (int minute = 0; minute < 600; minute++) {
+            // the load rises for hours, and with it what is held; but its least in a minute is often the same
+            long held = minute / 30;
+            long risen = trend.seen(minute * MINUTE, held);
+            if (risen > 0) {
+                said.add(risen);
+            }
+        }
+        assertEquals(List.of(), said);
+    }
+}
--- a/src/test/java/gatefront/http/HttpUpstreamTest.java
+++ b/src/test/java/gatefront/http/HttpUpstreamTest.java
@@ -1,5 +1,6 @@
 package gatefront.http;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.PooledUpstream;
 import gatefront.connection.UpstreamContract;
@@ -12,12 +13,14 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
 
 /** The contract over HTTP/1.1. */
 class HttpUpstreamTest extends UpstreamContract {
     @Override
     protected PooledUpstream upstream(Transport transport, int port) {
-        return new HttpUpstream(transport, Config.read(Path.of("src/test/resources/config.json")), 50);
+        return new HttpUpstream(transport, Config.read(Path.of("src/test/resources/config.json")), 50,
+            new Budget(1 << 24, Map.of()));
     }
 
     @Override
--- a/src/test/java/gatefront/thrift/ThriftUpstreamTest.java
+++ b/src/test/java/gatefront/thrift/ThriftUpstreamTest.java
@@ -1,5 +1,6 @@
 package gatefront.thrift;
 
+import gatefront.budget.Budget;
 import gatefront.config.Config;
 import gatefront.connection.PooledUpstream;
 import gatefront.connection.UpstreamContract;
@@ -33,7 +34,8 @@
         @Override
         protected PooledUpstream upstream(Transport transport, int port) {
             return new ThriftUpstream(transport, Config.read(Path.of("src/test/resources/config.json")),
-                new ThriftSettings(null, null, port, form.framed(), true, Map.of()), 50);
+                new ThriftSettings(null, null, port, form.framed(), true, Map.of()), 50,
+                new Budget(1 << 24, Map.of()));
         }
 
         @Override
