--- a/src/main/java/gatefront/rehearsal/registry/ConsulStand.java
+++ b/src/main/java/gatefront/rehearsal/registry/ConsulStand.java
@@ -33,12 +33,20 @@
 
     /** Waiting reads, each removed when it is answered or its connection closes. */
     private final Set<Asking> waiting = new LinkedHashSet<>();
+    private boolean leader = true;
+    private long lastContact;
 
     /** One that serves a store, which the supplier may replace. */
     public ConsulStand(Transport transport, Supplier<KeyValues> store) {
         super(transport, store);
     }
 
+    /** Whether it knows a leader, and for how many milliseconds it has not heard of it. */
+    public void cutOff(boolean knowsLeader, long millis) {
+        leader = knowsLeader;
+        lastContact = millis;
+    }
+
     @Override
     void serve(Channel channel) {
         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Asking());
@@ -144,8 +152,8 @@
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             if (index >= 0) {
-                response.headers().set("X-Consul-Index", index).set("X-Consul-KnownLeader", "true")
-                    .set("X-Consul-LastContact", 0);
+                response.headers().set("X-Consul-Index", index)
+                    .set("X-Consul-KnownLeader", String.valueOf(leader)).set("X-Consul-LastContact", lastContact);
             }
             ctx.writeAndFlush(response);
         }
--- /dev/null
+++ b/src/test/java/gatefront/cli/RegistryCommandTest.java
@@ -0,0 +1,54 @@
+package gatefront.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.rehearsal.registry.ConsulStand;
+import gatefront.rehearsal.registry.EtcdStand;
+import gatefront.rehearsal.registry.RegistryStand;
+import gatefront.rehearsal.world.KeyValues;
+import gatefront.transport.SocketTransport;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What staff see of a registry. */
+class RegistryCommandTest {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... args) {
+        return Main.run(args, new PrintStream(out), new PrintStream(err));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"etcd", "consul"})
+    void whatIsThereIsPrintedWithItsRevision(String kind) throws Exception {
+        SocketTransport sockets = new SocketTransport();
+        try {
+            KeyValues keys = new KeyValues(1);
+            keys.put("oaxaca/nodos/a", "1");
+            keys.put("elsewhere", "2");
+            keys.put("oaxaca/nodos/b", "3");
+            RegistryStand stand = kind.equals("etcd") ? new EtcdStand(sockets, () -> keys)
+                : new ConsulStand(sockets, () -> keys);
+            stand.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+            String url = kind + "://127.0.0.1:" + stand.address().getPort();
+            assertEquals(0, run("registry", "watch", "--once", url, "oaxaca/"), err.toString());
+            assertEquals("2 put oaxaca/nodos/a 1\n4 put oaxaca/nodos/b 3\n", out.toString());
+        } finally {
+            sockets.close(() -> { });
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"etdc://127.0.0.1:1", "etcd://somewhere:1", "etcd"})
+    void aWrongAddressIsOneLine(String url) {
+        assertEquals(1, run("registry", "watch", "--once", url, "oaxaca/"));
+        assertTrue(err.toString().startsWith("gatefront: command line:"), err.toString());
+        assertEquals(1, err.toString().lines().count(), err.toString());
+    }
+}
--- a/src/test/java/gatefront/registry/ConsulCallsTest.java
+++ b/src/test/java/gatefront/registry/ConsulCallsTest.java
@@ -64,6 +64,29 @@
         assertEquals(0, client.follower().entries().size());
     }
 
+    /** A member that was cut off answers from what it had: it says so, and another one is asked. */
+    @Test
+    void aMemberThatHasLostItsLeaderIsNotBelieved() throws Exception {
+        put("nodos/a", "1");
+        follow();
+        for (RegistryStand each : members) {
+            ((ConsulStand) each).cutOff(false, 0);
+        }
+        put("nodos/a", "2");
+        run(3 * SECOND);
+        assertEquals("1", known("nodos/a"));
+        for (RegistryStand each : members) {
+            ((ConsulStand) each).cutOff(true, 16_000); // longer than a state may be unconfirmed
+        }
+        run(3 * SECOND);
+        assertEquals("1", known("nodos/a"));
+        ((ConsulStand) members.get(1)).cutOff(true, 20);
+        run(5 * SECOND);
+        same();
+        assertTrue(lines.stream().anyMatch(each -> each.contains("it knows no leader")), lines.toString());
+        assertTrue(lines.stream().anyMatch(each -> each.contains("not heard of its leader for 16000 ms")));
+    }
+
     /** Consul has one index for all keys of a prefix; where nothing changes, one read waits at a time. */
     @Test
     void quietAgentsAskSeldom() throws Exception {
