--- a/src/test/java/gatefront/registry/follower/FollowerTest.java
+++ b/src/test/java/gatefront/registry/follower/FollowerTest.java
@@ -129,11 +129,11 @@
 
     @Test
     void aSilentWatchIsGivenUpAndTheStateIsStaleOnlyLater() {
-        while (did.isEmpty()) {
+        for (int i = 0; i < 100 && did.isEmpty(); i++) {
             wake();
         }
         assertEquals(List.of("watch 5"), did);
-        while (!did.contains("stale")) {
+        for (int i = 0; i < 1_000 && !did.contains("stale"); i++) {
             wake();
         }
         assertEquals(30_000_000, now);
