--- a/src/test/java/gatefront/registry/follower/FollowerTest.java
+++ b/src/test/java/gatefront/registry/follower/FollowerTest.java
@@ -117,6 +117,19 @@
         assertEquals(List.of(put("b", 7), put("a", 8)), told, "in the order of their revisions");
     }
 
+    /** A drain may be among what has been compacted: the read does not wait out another of the long back-offs. */
+    @Test
+    void afterALongOutageACompactedRevisionIsReadAnewAtOnce() {
+        for (int i = 0; i < 10; i++) {
+            follower.failed(now, call, "down", false);
+            wake();
+        }
+        follower.compacted(now, call, 9);
+        assertEquals(50_000, timerAt - now);
+        wake();
+        assertEquals("list", did.get(did.size() - 1));
+    }
+
     @Test
     void afterItsEndItDoesNothing() {
         follower.close();
