--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -148,7 +148,7 @@
     /** What each purpose may hold where nothing else is said; the connections' own limits hold them besides. */
     static Map<Purpose, Budget.Cap> caps(long memory, int connections) {
         Map<Purpose, Budget.Cap> caps = new EnumMap<>(Purpose.class);
-        caps.put(Purpose.CALLER_CONNECTIONS, new Budget.Cap(connections, -1));
+        // None for callers' connections: a front's own limit leaves out those that end, and an account counts them.
         caps.put(Purpose.SERVER_CONNECTIONS, new Budget.Cap(connections, -1));
         caps.put(Purpose.REQUESTS, new Budget.Cap(-1, memory / BODIES_PART));
         caps.put(Purpose.SERVER_ANSWERS, new Budget.Cap(-1, memory / BODIES_PART));
