--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -62,6 +62,7 @@
     private final Config config;
     private final Transport transport;
     private final Budget budget;
+    private final Map<Purpose, Budget.Cap> usual;
     /** Shows what is held; null where nobody asked for it. */
     private final StatusFront status;
     private final EventLoop loop;
@@ -88,10 +89,9 @@
         this.transport = transport;
         loop = transport.loop();
         int each = (config.sockets() - SOCKETS_RESERVED) / (thrift == null ? 2 : 4);
-        budget = new Budget(transport.memory(), caps(transport.memory(), each * (thrift == null ? 1 : 2)));
-        if (extensions.memory() != null) {
-            budget.caps(extensions.memory().caps());
-        }
+        usual = caps(transport.memory(), each * (thrift == null ? 1 : 2));
+        budget = new Budget(transport.memory(), usual);
+        cap(extensions);
         status = extensions.memory() == null || extensions.memory().status() == null ? null
             : new StatusFront(transport, extensions.memory().status(), budget);
         backends = new HttpUpstream(transport, config, each, budget);
@@ -156,6 +156,18 @@
         return caps;
     }
 
+    /** The caps of a file of our own over the usual ones; what the file does not name has the usual one again. */
+    private void cap(Extensions extensions) {
+        Map<Purpose, Budget.Cap> caps = new EnumMap<>(Purpose.class);
+        for (Purpose each : Purpose.values()) {
+            caps.put(each, usual.getOrDefault(each, new Budget.Cap(-1, -1)));
+        }
+        if (extensions.memory() != null) {
+            caps.putAll(extensions.memory().caps());
+        }
+        budget.caps(caps);
+    }
+
     /** What it holds, by purpose; to be asked on its loop. */
     public Budget budget() {
         return budget;
@@ -288,25 +300,35 @@
     }
 
     /**
-     * Takes over from the file what may change under way: where discovery is. The rest needs a restart.
-     * Requests go on undisturbed, and a file that cannot be used changes nothing.
+     * Takes over from the files what may change under way: where discovery is, and the caps of what is held. The rest
+     * needs a restart. Requests go on undisturbed, and a file that cannot be used changes nothing of either.
      *
      * @param file the configuration file
+     * @param ofOurOwn the file of our own beside it, or null
      */
-    public void reload(Path file) {
-        reload(() -> Config.read(file));
+    public void reload(Path file, Path ofOurOwn) {
+        reload(() -> Config.read(file),
+            read -> ofOurOwn == null ? Extensions.NONE : Extensions.read(ofOurOwn, read));
     }
 
     /**
-     * The same from elsewhere than a file.
+     * The same from elsewhere than files.
      *
      * @param from gets the configuration, on the loop; an IllegalArgumentException says why there is none
      */
     public void reload(Supplier<Config> from) {
+        reload(from, read -> null);
+    }
+
+    private void reload(Supplier<Config> from, Function<Config, Extensions> besides) {
         try {
             loop.execute(() -> {
                 try {
                     Config read = from.get();
+                    Extensions extensions = besides.apply(read);
+                    if (extensions != null) {
+                        cap(extensions);
+                    }
                     if (asksPadron()) {
                         discovery.moveTo(read.discovery());
                     }
--- a/src/main/java/gatefront/agent/MemoryTable.java
+++ b/src/main/java/gatefront/agent/MemoryTable.java
@@ -39,6 +39,15 @@
             Purpose purpose = Purpose.values()[words.indexOf(each.word("purpose", null, words))];
             int entries = each.whole("entries", -1, 1, ENTRIES_MOST);
             double kib = each.number("kib", -1.0, 1, KIB_MOST);
+            if (purpose == Purpose.REGISTRY) {
+                throw each.bad("purpose", "registry has its cap in keys of [registry]");
+            }
+            if (entries >= 0 && !purpose.byEntries()) {
+                throw each.bad("entries", "means nothing for " + purpose.word() + ", which is held to kib");
+            }
+            if (kib >= 0 && !purpose.byBytes()) {
+                throw each.bad("kib", "means nothing for " + purpose.word() + ", which is held to entries");
+            }
             if (entries < 0 && kib < 0) {
                 throw each.bad("entries", "is missing; a cap is of entries, of kib, or of both");
             }
--- a/src/main/java/gatefront/budget/Purpose.java
+++ b/src/main/java/gatefront/budget/Purpose.java
@@ -21,6 +21,16 @@
     /** Keys of a registry. At the cap a state is not taken, and the one before goes stale. */
     REGISTRY;
 
+    /** Whether it is held to a number of entries, besides to bytes or without them. */
+    public boolean byEntries() {
+        return this != REQUESTS && this != SERVER_ANSWERS && this != REGISTRY;
+    }
+
+    /** Whether it is held to a number of bytes. */
+    public boolean byBytes() {
+        return this == REQUESTS || this == SERVER_ANSWERS || this == ANSWERS;
+    }
+
     /** As it stands in files and on pages. */
     public String word() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -72,13 +72,14 @@
             }
             // Before the agent says that it is ready: SIGHUP without a handler ends the JVM.
             Path file = Path.of(config);
+            Path ofOurOwn = extensions == null ? null : Path.of(extensions);
             SignalHandler before = Signal.handle(new Signal("HUP"),
-                signal -> started.thenAccept(running -> running.reload(file)));
+                signal -> started.thenAccept(running -> running.reload(file, ofOurOwn)));
             if (before == SignalHandler.SIG_IGN) { // the JVM leaves it so, and no reload would ever come
                 err.println("reload: SIGHUP is ignored here, so a new configuration needs a restart; "
                     + "start the agent without nohup");
             }
-            agent = Agent.start(file, extensions == null ? null : Path.of(extensions));
+            agent = Agent.start(file, ofOurOwn);
             started.complete(agent);
         } catch (IOException | IllegalArgumentException e) {
             err.println("gatefront: " + e.getMessage());
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -20,8 +20,10 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -206,16 +208,25 @@
 
     /** Takes the most recently used connection that has rested and was silent meanwhile, or none. */
     private Connection rested(Pool pool) {
-        for (Connection each : List.copyOf(pool.idle)) {
-            if (transport.nanos() - each.idleSince >= pool.restNanos) {
-                pool.idle.remove(each);
+        long now = transport.nanos();
+        Connection fit = null;
+        List<Connection> unfit = null;
+        for (Iterator<Connection> all = pool.idle.iterator(); fit == null && all.hasNext();) {
+            Connection each = all.next();
+            if (now - each.idleSince >= pool.restNanos) {
+                all.remove();
                 if (!each.old() && transport.silent(each.channel)) {
-                    return each;
+                    fit = each;
+                } else {
+                    unfit = unfit == null ? new ArrayList<>() : unfit;
+                    unfit.add(each);
                 }
-                each.channel.close();
             }
         }
-        return null;
+        if (unfit != null) {
+            unfit.forEach(each -> each.channel.close()); // not while the pool is being looked through
+        }
+        return fit;
     }
 
     // ---- Attempts ----
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -6,9 +6,9 @@
 import gatefront.engine.Call;
 import gatefront.engine.Engine;
 import gatefront.engine.Payload;
-import gatefront.http.codec.Decoders;
 import gatefront.http.HttpUpstream.Outgoing;
 import gatefront.http.HttpUpstream.Served;
+import gatefront.http.codec.Decoders;
 import gatefront.policy.Balancer;
 import gatefront.transport.Transport;
 import io.netty.buffer.ByteBuf;
@@ -18,7 +18,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -31,9 +31,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
@@ -47,13 +48,20 @@
     private record Asked(Call request, HttpResponseStatus error, boolean keepAlive) { }
 
     /** What goes from hop to hop only, or is set anew. */
-    private static final List<CharSequence> NOT_FORWARDED = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
-        "Proxy-Connection", HttpHeaderNames.TE, HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING,
-        HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_LENGTH);
+    private static final AsciiString[] NOT_FORWARDED = {HttpHeaderNames.CONNECTION, AsciiString.cached("Keep-Alive"),
+        AsciiString.cached("Proxy-Connection"), HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
+        HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
+        HttpHeaderNames.CONTENT_LENGTH};
+    private static final AsciiString REQUEST_ID = AsciiString.cached("Request-Id");
+    private static final AsciiString REQUEST_CLASS = AsciiString.cached("Request-Class");
+    private static final AsciiString TENANT = AsciiString.cached("Tenant");
+    private static final AsciiString AFFINITY_KEY = AsciiString.cached("Affinity-Key");
+    private static final AsciiString CLIENT_RETRY = AsciiString.cached("Client-Retry");
+    private static final AsciiString WORK_HINT = AsciiString.cached("Work-Hint");
+    private static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("Idempotency-Key");
     /** What a request says once at the most; of two, a server might believe the other. */
-    private static final List<String> ONCE = List.of("Host", "Request-Id", "Request-Class", "Tenant",
-        "Affinity-Key", HttpUpstream.REQUEST_TIMEOUT, "Client-Retry", "Work-Hint", "Request-Info",
-        "Idempotency-Key");
+    private static final AsciiString[] ONCE = {HttpHeaderNames.HOST, REQUEST_ID, REQUEST_CLASS, TENANT, AFFINITY_KEY,
+        HttpUpstream.REQUEST_TIMEOUT, CLIENT_RETRY, WORK_HINT, AsciiString.cached("Request-Info"), IDEMPOTENCY_KEY};
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
@@ -123,8 +131,10 @@
             }
             answered = true;
             ByteBuf body = served == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(served.body());
-            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            HttpHeaders headers = response.headers();
+            // What is set here was checked when it came.
+            HttpHeaders headers = HttpUpstream.UNCHECKED.newHeaders();
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers,
+                EmptyHttpHeaders.INSTANCE);
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (served != null && served.contentType() != null) {
                 headers.set(HttpHeaderNames.CONTENT_TYPE, served.contentType());
@@ -201,7 +211,8 @@
                 add(content.content());
             }
             if (part instanceof LastHttpContent && !deaf) {
-                Call whole = incoming == null ? null : with(incoming, ByteBufUtil.getBytes(body));
+                Call whole = incoming == null || !body.isReadable() ? incoming
+                    : with(incoming, ByteBufUtil.getBytes(body));
                 body = Unpooled.EMPTY_BUFFER;
                 ask(new Asked(whole, null, keepAlive));
             }
@@ -330,7 +341,7 @@
 
     private static boolean health(HttpRequest head) {
         return head.uri().equals("/healthz") && head.method().equals(HttpMethod.GET)
-            && !head.headers().contains("Request-Id");
+            && !head.headers().contains(REQUEST_ID);
     }
 
     /** Why the bytes that follow cannot be told apart or will not be read, or null. */
@@ -361,51 +372,75 @@
      */
     public Call parse(HttpRequest request) {
         HttpHeaders headers = request.headers();
-        if (!visible(request.uri(), '!') || !request.uri().startsWith("/")
-                || ONCE.stream().anyMatch(name -> headers.getAll(name).size() > 1)) {
+        String uri = request.uri();
+        if (!visible(uri, '!') || !uri.startsWith("/")) {
             return null;
         }
-        for (Map.Entry<String, String> each : headers) {
-            if (!visible(each.getValue(), ' ')) {
+        HttpHeaders forwarded = HttpUpstream.UNCHECKED.newHeaders();
+        int seen = 0;
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> all = headers.iteratorCharSequence(); all.hasNext();) {
+            Map.Entry<CharSequence, CharSequence> each = all.next();
+            int once = index(ONCE, each.getKey());
+            if (!visible(each.getValue(), ' ') || once >= 0 && (seen & 1 << once) != 0) {
                 return null;
             }
+            seen |= once < 0 ? 0 : 1 << once;
+            if (once >= 0 || index(NOT_FORWARDED, each.getKey()) < 0) {
+                forwarded.add(each.getKey(), each.getValue());
+            }
         }
-        String named = headers.get("Request-Class", "");
+        String named = headers.get(REQUEST_CLASS, "");
         int requestClass = config.classes().indexOf(named);
         long timeout = Decoders.digits(headers.get(HttpUpstream.REQUEST_TIMEOUT), 0);
-        long hint = Decoders.digits(headers.get("Work-Hint", "0"), -1);
-        String id = headers.get("Request-Id", "");
-        int tenant = config.tenants().indexOf(headers.get("Tenant", ""));
-        if (requestClass < 0 || !named.equals(request.uri().split("[/?]", 3)[1]) || timeout < 1
-                || timeout > TIMEOUT_MS_MAX || hint < 0 || !Call.isId(id) || headers.get("Host", "").isEmpty()
-                || tenant < 0 && !config.tenants().isEmpty()) {
+        long hint = Decoders.digits(headers.get(WORK_HINT, "0"), -1);
+        String id = headers.get(REQUEST_ID, "");
+        int tenant = config.tenants().indexOf(headers.get(TENANT, ""));
+        if (requestClass < 0 || !named.equals(firstPart(uri)) || timeout < 1
+                || timeout > TIMEOUT_MS_MAX || hint < 0 || !Call.isId(id)
+                || headers.get(HttpHeaderNames.HOST, "").isEmpty() || tenant < 0 && !config.tenants().isEmpty()) {
             return null;
         }
         Balancer.Semantics semantics = config.settings().classes().get(requestClass).semantics();
         HttpMethod method = semantics == Balancer.Semantics.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        String repeat = headers.get("Idempotency-Key");
+        String repeat = headers.get(IDEMPOTENCY_KEY);
         // Guards against an effect twice: without its key no server would drop a repeat.
         boolean keyed = semantics == Balancer.Semantics.KEYED;
         if (!request.method().equals(method) || (keyed ? repeat == null || !Call.isId(repeat) : repeat != null)) {
             return null;
         }
-        HttpHeaders forwarded = new DefaultHttpHeaders().set(headers);
         for (String option : headers.getAllAsString(HttpHeaderNames.CONNECTION)) {
             for (String name : option.split(",")) {
-                if (ONCE.stream().noneMatch(name.trim()::equalsIgnoreCase)) {
+                if (index(ONCE, name.trim()) < 0) {
                     forwarded.remove(name.trim());
                 }
             }
         }
-        NOT_FORWARDED.forEach(forwarded::remove);
-        String key = headers.get("Affinity-Key", "");
+        String key = headers.get(AFFINITY_KEY, "");
         return new Call(id, requestClass, Math.max(0, tenant), key.isEmpty() ? 0 : Config.id(key),
-            hint, timeout, "1".equals(headers.get("Client-Retry")),
-            new Outgoing(request.method(), request.uri(), forwarded, HttpUpstream.NO_BODY));
+            hint, timeout, "1".equals(headers.get(CLIENT_RETRY)),
+            new Outgoing(request.method(), uri, forwarded, HttpUpstream.NO_BODY));
+    }
+
+    /** The part of a path between its first slash and the next one or the question mark. */
+    private static String firstPart(String uri) {
+        int end = 1;
+        while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
+            end++;
+        }
+        return uri.substring(1, end);
+    }
+
+    private static int index(AsciiString[] names, CharSequence name) {
+        for (int i = 0; i < names.length; i++) {
+            if (names[i].length() == name.length() && names[i].contentEqualsIgnoreCase(name)) {
+                return i;
+            }
+        }
+        return -1;
     }
 
     /** Whether a text is of visible characters alone, and from this one on. */
-    private static boolean visible(String text, char least) {
+    private static boolean visible(CharSequence text, char least) {
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
             if ((c < least || c > '~') && c != '\t') {
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -14,9 +14,12 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -26,6 +29,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 
@@ -40,7 +44,9 @@
     /** The status of an answer that blames the request. */
     record Rejection(HttpResponseStatus status) implements Payload { }
 
-    public static final String REQUEST_TIMEOUT = "Request-Timeout-Ms";
+    public static final AsciiString REQUEST_TIMEOUT = AsciiString.cached("Request-Timeout-Ms");
+    /** Headers of what has been checked before; that costs as much again as setting them. */
+    static final HttpHeadersFactory UNCHECKED = DefaultHttpHeadersFactory.headersFactory().withValidation(false);
     static final int BODY_MAX = 64 << 10;
     /** Of the answers that blame the request those that blame the moment: too slow, too early, too many. */
     private static final Set<Integer> MAY_SUCCEED_LATER = Set.of(408, 425, 429);
@@ -71,10 +77,9 @@
     @Override
     protected Object message(Payload payload, int number, long millisLeft) {
         Outgoing request = (Outgoing) payload;
+        HttpHeaders headers = UNCHECKED.newHeaders().set(request.headers);
         var message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri,
-            Unpooled.wrappedBuffer(request.body));
-        message.headers().set(request.headers);
-        HttpHeaders headers = message.headers();
+            Unpooled.wrappedBuffer(request.body), headers, EmptyHttpHeaders.INSTANCE);
         if (!headers.contains(HttpHeaderNames.HOST)) {
             headers.set(HttpHeaderNames.HOST, "backend");
         }
--- a/src/main/java/gatefront/status/StatusPage.java
+++ b/src/main/java/gatefront/status/StatusPage.java
@@ -12,7 +12,7 @@
     private StatusPage() { }
 
     /** A line for each purpose: entries and bytes now, the highest, the cap, and how often there was no room. */
-    public static String text(Budget budget) {
+    public static String text(Budget budget, ProcessFigures process) {
         StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%-20s %9s %9s %9s %12s %12s %12s %11s%n",
             "purpose", "entries", "highest", "cap", "bytes", "highest", "cap", "turned away"));
         for (Purpose each : Purpose.values()) {
@@ -22,19 +22,25 @@
             out.append(String.format(Locale.ROOT, "%12d %12d %12s %11d%n", a.bytes(), a.bytesHigh(),
                 cap(a.bytesCap()), a.turnedAway()));
         }
-        Runtime jvm = Runtime.getRuntime();
         return out.append(String.format(Locale.ROOT, "all purposes         %d of %d bytes, pressure %s%n",
             budget.bytes(), budget.total(), budget.pressure().name().toLowerCase(Locale.ROOT)))
             .append(String.format(Locale.ROOT, "heap                 %d of %d bytes, garbage with it%n",
-                jvm.totalMemory() - jvm.freeMemory(), jvm.maxMemory())).toString();
+                process.heapUsed(), process.heapMost()))
+            .append(String.format(Locale.ROOT, "buffers              %d bytes outside the heap%n", process.buffers()))
+            .append(String.format(Locale.ROOT, "process              %s bytes resident, %s descriptors%n",
+                known(process.resident()), known(process.descriptors()))).toString();
+    }
+
+    private static String known(long figure) {
+        return figure < 0 ? "unknown" : String.valueOf(figure);
     }
 
     private static String cap(long cap) {
         return cap == Long.MAX_VALUE ? "-" : String.valueOf(cap);
     }
 
-    /** The same as JSON; a cap that there is not is left out. */
-    public static ObjectNode json(Budget budget) {
+    /** The same as JSON; a cap that there is not is left out, and so is what is not known. */
+    public static ObjectNode json(Budget budget, ProcessFigures process) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         ObjectNode purposes = root.putObject("purposes");
         for (Purpose each : Purpose.values()) {
@@ -51,8 +57,14 @@
         }
         root.put("bytes", budget.bytes()).put("bytes_total", budget.total())
             .put("pressure", budget.pressure().name().toLowerCase(Locale.ROOT));
-        Runtime jvm = Runtime.getRuntime();
-        root.put("heap_used", jvm.totalMemory() - jvm.freeMemory()).put("heap_most", jvm.maxMemory());
+        root.put("heap_used", process.heapUsed()).put("heap_most", process.heapMost())
+            .put("buffers", process.buffers());
+        if (process.resident() >= 0) {
+            root.put("resident", process.resident());
+        }
+        if (process.descriptors() >= 0) {
+            root.put("descriptors", process.descriptors());
+        }
         return root;
     }
 }
--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -13,6 +13,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -20,9 +22,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Each purpose is driven to its cap on sockets: the stated behaviour, and the account at its base afterwards. */
 class MemoryTest {
+    @TempDir
+    private Path folder;
     private Stage stage;
     private final CountDownLatch release = new CountDownLatch(1);
 
@@ -47,10 +52,13 @@
     }
 
     private JsonNode held(Purpose purpose) {
+        return page().get("purposes").get(purpose.word());
+    }
+
+    private JsonNode page() {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), stage.agent.statusAddress().getPort())) {
             Peer.write(socket, "GET /status.json HTTP/1.1\r\nHost: a\r\n\r\n");
-            return new ObjectMapper().readTree(Peer.read(socket.getInputStream()).text()).get("purposes")
-                .get(purpose.word());
+            return new ObjectMapper().readTree(Peer.read(socket.getInputStream()).text());
         } catch (IOException e) {
             throw new AssertionError(e);
         }
@@ -204,6 +212,52 @@
         }
     }
 
+    /** Below what is held: nothing is ended, and nothing new is taken until it is. A file that is wrong changes nothing. */
+    @Test
+    void capsAreReloadedAndWhatTheFileNoLongerNamesHasTheUsualOneAgain() throws Exception {
+        slow();
+        Path config = Files.writeString(folder.resolve("config.json"), stage.config.toString());
+        Path ours = folder.resolve("ours.toml");
+        start("");
+        List<CompletableFuture<Peer.Message>> taken = together(3, "lookup", "");
+        Stage.await(() -> held(Purpose.CALLS).get("entries").asLong() == 3);
+        long usual = held(Purpose.CALLS).get("entries_cap").asLong();
+        Files.writeString(ours, "[memory]\n" + cap(Purpose.CALLS, "entries = 2"));
+        stage.agent.reload(config, ours);
+        Stage.await(() -> held(Purpose.CALLS).get("entries_cap").asLong() == 2);
+        assertEquals(503, stage.call("lookup").status());
+        Files.writeString(ours, "[memory]\n" + cap(Purpose.CALLS, "entries = 0"));
+        stage.agent.reload(config, ours);
+        Files.writeString(folder.resolve("next.toml"), "[memory]\n" + cap(Purpose.ANSWERS, "entries = 77"));
+        assertEquals(2, held(Purpose.CALLS).get("entries_cap").asLong());
+        release.countDown();
+        for (CompletableFuture<Peer.Message> each : taken) {
+            assertEquals(200, each.get().status());
+        }
+        assertEquals(200, stage.call("lookup").status());
+        stage.agent.reload(config, folder.resolve("next.toml"));
+        Stage.await(() -> held(Purpose.ANSWERS).path("entries_cap").asLong() == 77);
+        assertEquals(usual, held(Purpose.CALLS).get("entries_cap").asLong());
+    }
+
+    @Test
+    void thePageSaysWhatTheProcessTakes() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start("");
+        assertEquals(200, stage.call("lookup").status());
+        JsonNode before = page();
+        assertTrue(before.get("resident").asLong() > before.get("heap_used").asLong() / 2, before.toString());
+        long open = before.get("descriptors").asLong();
+        List<Socket> more = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            more.add(stage.dial());
+        }
+        Stage.await(() -> page().get("descriptors").asLong() >= open + 20);
+        for (Socket each : more) {
+            each.close();
+        }
+    }
+
     @Test
     void whatIsWrongInTheTableIsOneLine() {
         for (List<String> each : List.of(
@@ -212,6 +266,11 @@
                 List.of("[[memory.caps]]\npurpose = \"cals\"\nentries = 3",
                     "x.toml:3: memory.caps.0.purpose: \"cals\" is none of"),
                 List.of("[[memory.caps]]\npurpose = \"calls\"", "memory.caps.0.entries: is missing"),
+                List.of("[[memory.caps]]\npurpose = \"calls\"\nkib = 3", "memory.caps.0.kib: means nothing for calls"),
+                List.of("[[memory.caps]]\npurpose = \"requests\"\nentries = 3",
+                    "memory.caps.0.entries: means nothing for requests"),
+                List.of("[[memory.caps]]\npurpose = \"registry\"\nentries = 3",
+                    "memory.caps.0.purpose: registry has its cap in keys of [registry]"),
                 List.of("[[memory.caps]]\npurpose = \"calls\"\nentries = 0",
                     "memory.caps.0.entries: 0 is not within 1"))) {
             String message = assertThrows(TomlException.class, () -> Extensions.parse("x.toml",
--- a/src/test/java/gatefront/agent/ReloadTest.java
+++ b/src/test/java/gatefront/agent/ReloadTest.java
@@ -72,7 +72,7 @@
         Stage.await(() -> old.requests.size() == 1);
         write(other.address());
         for (int i = 0; i < 5; i++) { // several in a row do no more than one
-            stage.agent.reload(file);
+            stage.agent.reload(file, null);
         }
         Stage.await(() -> asked(other).stream().anyMatch(each -> each.contains("since=1&")));
         assertEquals("/v1/servers", asked(other).get(0));
@@ -93,11 +93,11 @@
         Peer down = stage.peer((message, socket) -> Peer.reset(socket));
         stage.start();
         write(down.address());
-        stage.agent.reload(file);
+        stage.agent.reload(file, null);
         Stage.await(() -> down.requests.size() >= 2);
         assertEquals("old", stage.call("lookup").text());
         write(up.address());
-        stage.agent.reload(file);
+        stage.agent.reload(file, null);
         Stage.await(() -> asked(up).stream().anyMatch(each -> each.contains("since=1&")));
         assertEquals("new", stage.call("lookup").text());
     }
@@ -108,9 +108,9 @@
         stage.start();
         for (String text : List.of("", "{", "{}", "{\"discovery\":\"nowhere\"}")) {
             Files.writeString(file, text);
-            stage.agent.reload(file);
+            stage.agent.reload(file, null);
         }
-        stage.agent.reload(dir.resolve("missing"));
+        stage.agent.reload(dir.resolve("missing"), null);
         int before = stage.discovery.requests.size();
         stage.news.add(Stage.delta(1, Stage.endpoint(2, "127.0.0.1:9", "Terminating")));
         Stage.await(() -> stage.discovery.requests.size() > before);
