--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -45,7 +45,7 @@
     record Rejection(HttpResponseStatus status) implements Payload { }
 
     public static final AsciiString REQUEST_TIMEOUT = AsciiString.cached("Request-Timeout-Ms");
-    /** Headers of what has been checked before; that costs as much again as setting them. */
+    /** For headers that were checked when they came. */
     static final HttpHeadersFactory UNCHECKED = DefaultHttpHeadersFactory.headersFactory().withValidation(false);
     static final int BODY_MAX = 64 << 10;
     /** Of the answers that blame the request those that blame the moment: too slow, too early, too many. */
