--- a/src/bench/java/gatefront/bench/DecisionBench.java
+++ b/src/bench/java/gatefront/bench/DecisionBench.java
@@ -28,6 +28,7 @@
 @Fork(1)
 public class DecisionBench {
     private static final long MS = 1_000;
+    private static final double[] NO_LOAD = new double[0];
 
     /** How many servers are listed. */
     @Param({"14", "1000", "10000"})
@@ -97,7 +98,7 @@
         id++;
         sentTo = 0;
         rules.request(now, new Balancer.Request(id, 0, 0, 0, 0, now + 8_000 * MS, false, false));
-        rules.outcome(now + 5 * MS, id, 0, sentTo, Balancer.Outcome.OK, 5 * MS, true, null);
+        rules.outcome(now + 5 * MS, id, 0, sentTo, Balancer.Outcome.OK, 5 * MS, true, NO_LOAD);
         now += MS;
         return sentTo;
     }
