--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -11,6 +11,7 @@
 import gatefront.membership.Endpoint;
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
+import gatefront.status.MemoryWatch;
 import gatefront.status.StatusFront;
 import gatefront.thrift.ThriftFront;
 import gatefront.thrift.ThriftSettings;
@@ -218,6 +219,9 @@
             sockets.close(() -> { });
             throw new IOException("cannot listen on " + extensions.memory().status() + " for the status page");
         }
+        if (agent.status != null) {
+            new MemoryWatch(sockets).start();
+        }
         agent.loop.execute(agent::begin);
         return agent;
     }
--- a/src/main/java/gatefront/registry/EtcdMessages.java
+++ b/src/main/java/gatefront/registry/EtcdMessages.java
@@ -1,11 +1,9 @@
 package gatefront.registry;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import gatefront.registry.follower.Change;
 import gatefront.registry.follower.Entry;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -33,22 +31,6 @@
     record Watched(Header header, boolean created, boolean canceled, long compacted, String reason, boolean fragment,
                    List<Change> changes) { }
 
-    private interface Body {
-        void write(CodedOutputStream out) throws IOException;
-    }
-
-    private static byte[] message(Body body) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            body.write(out);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new IllegalStateException(e); // an array takes everything
-        }
-    }
-
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
@@ -67,7 +49,7 @@
 
     /** Asks for a page of keys; at the newest revision if that is 0. */
     static byte[] range(byte[] from, byte[] to, int limit, long revision, boolean anyMember) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeByteArray(1, from);
             out.writeByteArray(2, to);
             out.writeInt64(3, limit);
@@ -82,24 +64,24 @@
 
     /** Asks to be told of what changes from a revision on. */
     static byte[] watch(byte[] from, byte[] to, long revision) {
-        byte[] create = message(out -> {
+        byte[] create = Protobuf.message(out -> {
             out.writeByteArray(1, from);
             out.writeByteArray(2, to);
             out.writeInt64(3, revision);
             out.writeBool(4, true);
             out.writeBool(8, true);
         });
-        return message(out -> out.writeByteArray(1, create));
+        return Protobuf.message(out -> out.writeByteArray(1, create));
     }
 
     /** Asks a stream of watches how far it is. */
     static byte[] progress() {
-        return message(out -> out.writeByteArray(3, new byte[0]));
+        return Protobuf.message(out -> out.writeByteArray(3, new byte[0]));
     }
 
     /** Asks for a token. */
     static byte[] authenticate(String user, String password) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeString(1, user);
             out.writeString(2, password);
         });
--- a/src/main/java/gatefront/rehearsal/registry/EtcdStand.java
+++ b/src/main/java/gatefront/rehearsal/registry/EtcdStand.java
@@ -1,8 +1,8 @@
 package gatefront.rehearsal.registry;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
+import gatefront.registry.Protobuf;
 import gatefront.rehearsal.world.KeyValues;
 import gatefront.transport.Transport;
 import io.netty.buffer.ByteBuf;
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http2.Http2HeadersFrame;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -98,24 +97,8 @@
         List.copyOf(watching).forEach(Stream::tell);
     }
 
-    private interface Body {
-        void write(CodedOutputStream out) throws IOException;
-    }
-
-    private static byte[] message(Body body) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            body.write(out);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private byte[] header(long revision) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeUInt64(1, store().history());
             out.writeUInt64(2, 1);
             out.writeInt64(3, revision);
@@ -124,7 +107,7 @@
     }
 
     private static byte[] keyValue(KeyValues.Kv kv) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeByteArray(1, kv.key().getBytes(StandardCharsets.UTF_8));
             out.writeInt64(2, kv.created());
             out.writeInt64(3, kv.modified());
@@ -188,7 +171,7 @@
                 in.readString();
                 in.readTag();
                 if (in.readString().equals(password)) {
-                    send(EtcdStand.message(out -> {
+                    send(Protobuf.message(out -> {
                         out.writeByteArray(1, header(revision()));
                         out.writeString(2, secret());
                     }));
@@ -240,7 +223,7 @@
             }
             List<KeyValues.Kv> all = store().range(from, to, revision);
             int most = limit == 0 ? all.size() : Math.min(limit, all.size());
-            send(EtcdStand.message(out -> {
+            send(Protobuf.message(out -> {
                 out.writeByteArray(1, header(member));
                 for (KeyValues.Kv each : all.subList(0, most)) {
                     out.writeByteArray(2, keyValue(each));
@@ -320,8 +303,8 @@
             }
         }
 
-        private byte[] watched(long id, long revision, Body rest) {
-            return EtcdStand.message(out -> {
+        private byte[] watched(long id, long revision, Protobuf.Fields rest) {
+            return Protobuf.message(out -> {
                 out.writeByteArray(1, header(revision));
                 out.writeInt64(2, id);
                 rest.write(out);
@@ -329,7 +312,7 @@
         }
 
         private byte[] event(KeyValues.Event each) {
-            return EtcdStand.message(out -> {
+            return Protobuf.message(out -> {
                 if (each.after() == null) {
                     out.writeEnum(1, 1);
                 }
--- a/src/main/java/gatefront/status/StatusFront.java
+++ b/src/main/java/gatefront/status/StatusFront.java
@@ -1,7 +1,6 @@
 package gatefront.status;
 
 import gatefront.budget.Budget;
-import gatefront.budget.Unexplained;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -31,16 +30,12 @@
     /** More at once are closed: nobody needs them, and they take descriptors. */
     private static final int CONNECTIONS_MOST = 4;
     private static final long PATIENCE_MS = 2_000;
-    /** Growth of the process's memory beside heap and buffers that staff hear of, and how often that is looked at. */
-    private static final long UNEXPLAINED_MOST = 32 << 20;
-    private static final long LOOK_SECONDS = 60;
 
     private final Transport transport;
     private final InetSocketAddress listen;
     private final Budget budget;
     /** Each is removed when it closes, which it does after its answer or {@link #PATIENCE_MS}. */
     private final Set<Channel> open = new LinkedHashSet<>();
-    private final Unexplained unexplained = new Unexplained(UNEXPLAINED_MOST);
     private Channel server;
 
     /** Listens to nobody yet. */
@@ -60,19 +55,9 @@
                 }
             }).bind(listen);
         server = bound.channel();
-        transport.loop().scheduleWithFixedDelay(this::look, LOOK_SECONDS, LOOK_SECONDS, TimeUnit.SECONDS);
         return bound;
     }
 
-    private void look() {
-        ProcessFigures now = ProcessFigures.now();
-        long grown = unexplained.seen(now.resident(), now.heapTaken(), now.buffers());
-        if (grown > 0) {
-            transport.log("memory: the process has grown by " + (grown >> 20) + " MiB that neither heap nor buffers "
-                + "account for; it has " + (now.resident() >> 20) + " MiB in all");
-        }
-    }
-
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
--- a/src/test/java/gatefront/registry/GrpcPeerTest.java
+++ b/src/test/java/gatefront/registry/GrpcPeerTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.protobuf.CodedOutputStream;
 import gatefront.registry.follower.Bounds;
 import gatefront.registry.follower.Change;
 import gatefront.transport.SocketTransport;
@@ -14,7 +13,6 @@
 import io.grpc.stub.ServerCalls;
 import io.grpc.stub.StreamObserver;
 import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -34,31 +32,15 @@
 class GrpcPeerTest {
     private static final long GENEROUS_S = 20;
 
-    private interface Body {
-        void write(CodedOutputStream out) throws IOException;
-    }
-
-    private static byte[] message(Body body) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            body.write(out);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     private static byte[] header(long revision) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeUInt64(1, -5); // ids of clusters use all 64 bits
             out.writeInt64(3, revision);
         });
     }
 
     private static byte[] kv(String key, String value, long revision) {
-        return message(out -> {
+        return Protobuf.message(out -> {
             out.writeString(1, key);
             out.writeInt64(2, revision);
             out.writeInt64(3, revision);
@@ -102,7 +84,7 @@
         String large = "x".repeat(200_000); // many HTTP/2 frames, and more than a first window
         var range = ServerCalls.asyncUnaryCall((byte[] request, StreamObserver<byte[]> answer) -> {
             asked.add(request);
-            answer.onNext(message(out -> {
+            answer.onNext(Protobuf.message(out -> {
                 out.writeByteArray(1, header(5));
                 for (int i = 0; i < 10; i++) {
                     out.writeByteArray(2, kv("oaxaca/nodos/" + i, large, 4));
@@ -117,7 +99,7 @@
                 public void onNext(byte[] request) {
                     asked.add(request);
                     boolean watches = !Arrays.equals(EtcdMessages.progress(), request);
-                    send(answer, message(out -> {
+                    send(answer, Protobuf.message(out -> {
                         out.writeByteArray(1, header(revision.get()));
                         out.writeBool(3, watches);
                     }));
@@ -152,10 +134,10 @@
             }
             StreamObserver<byte[]> first = begun.poll(GENEROUS_S, TimeUnit.SECONDS);
             revision.set(6);
-            send(first, message(out -> {
+            send(first, Protobuf.message(out -> {
                 out.writeByteArray(1, header(6));
-                out.writeByteArray(11, message(event -> event.writeByteArray(2, kv("oaxaca/nodos/0", "new", 6))));
-                out.writeByteArray(11, message(event -> {
+                out.writeByteArray(11, Protobuf.message(event -> event.writeByteArray(2, kv("oaxaca/nodos/0", "new", 6))));
+                out.writeByteArray(11, Protobuf.message(event -> {
                     event.writeEnum(1, 1);
                     event.writeByteArray(2, kv("oaxaca/nodos/1", "", 6));
                 }));
@@ -166,9 +148,9 @@
             first.onError(io.grpc.Status.UNAVAILABLE.withDescription("leader changed").asRuntimeException());
             StreamObserver<byte[]> second = begun.poll(GENEROUS_S, TimeUnit.SECONDS);
             revision.set(7);
-            send(second, message(out -> {
+            send(second, Protobuf.message(out -> {
                 out.writeByteArray(1, header(7));
-                out.writeByteArray(11, message(event -> event.writeByteArray(2, kv("oaxaca/nodos/1", "back", 7))));
+                out.writeByteArray(11, Protobuf.message(event -> event.writeByteArray(2, kv("oaxaca/nodos/1", "back", 7))));
             }));
             assertEquals(new Change("oaxaca/nodos/1", "back", 7, 7), told.poll(GENEROUS_S, TimeUnit.SECONDS));
             byte[] resumed = EtcdMessages.watch(EtcdMessages.bytes("oaxaca/"), EtcdMessages.behind("oaxaca/"), 7);
--- a/src/test/java/gatefront/registry/follower/FollowerTest.java
+++ b/src/test/java/gatefront/registry/follower/FollowerTest.java
@@ -13,7 +13,7 @@
 
     private final List<String> did = new ArrayList<>();
     private final List<Change> told = new ArrayList<>();
-    private final Follower follower = new Follower(BOUNDS, most -> most, new Follower.Actions() {
+    private final Follower follower = new Follower(BOUNDS, most -> most, new NoActions() {
         @Override
         public void list(long of, boolean quorum) {
             call = of;
@@ -26,12 +26,6 @@
             did.add("watch " + revision);
         }
 
-        @Override
-        public void ask(long of) { }
-
-        @Override
-        public void drop(boolean failed) { }
-
         @Override
         public void timer(long delay) {
             timerAt = now + delay;
@@ -46,9 +40,6 @@
         public void stale(boolean is) {
             did.add(is ? "stale" : "confirmed");
         }
-
-        @Override
-        public void log(String line) { }
     });
     private long call;
     private long now;
--- a/src/test/java/gatefront/registry/follower/RegistryFigures.java
+++ b/src/test/java/gatefront/registry/follower/RegistryFigures.java
@@ -11,7 +11,7 @@
     private static final int KEYS = 10_000;
     private static final Bounds BOUNDS = new Bounds(50_000, 1_000_000, 0, 2_000_000, 8_000_000, 30_000_000, 0, 20_000);
 
-    private static final class Quiet implements Follower.Actions {
+    private static final class Quiet extends NoActions {
         private long call;
         private int calls;
         private long timerAt = -1;
@@ -29,25 +29,10 @@
             calls++;
         }
 
-        @Override
-        public void ask(long of) { }
-
-        @Override
-        public void drop(boolean failed) { }
-
         @Override
         public void timer(long delay) {
             timerAt = now + delay;
         }
-
-        @Override
-        public void changed(boolean full, List<Change> changes) { }
-
-        @Override
-        public void stale(boolean is) { }
-
-        @Override
-        public void log(String line) { }
     }
 
     private static List<Entry> entries() {
