--- a/src/main/java/gatefront/registry/GrpcConnection.java
+++ b/src/main/java/gatefront/registry/GrpcConnection.java
@@ -37,10 +37,7 @@
     /** Statuses that mean something here. */
     static final int OK = 0;
     static final int UNKNOWN = 2;
-    static final int INVALID_ARGUMENT = 3;
-    static final int PERMISSION_DENIED = 7;
     static final int RESOURCE_EXHAUSTED = 8;
-    static final int OUT_OF_RANGE = 11;
     static final int UNAVAILABLE = 14;
     static final int UNAUTHENTICATED = 16;
 
