--- a/src/test/java/gatefront/registry/GrpcPeerTest.java
+++ b/src/test/java/gatefront/registry/GrpcPeerTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 
 /** Another's gRPC on the other side, over loopback sockets: the framing is not only our own idea of it. */
@@ -69,10 +70,13 @@
             .setRequestMarshaller(bytes).setResponseMarshaller(bytes).build();
     }
 
-    /** Observers are not made for two threads: the library's answers to the client, and the test's. */
-    private static void send(StreamObserver<byte[]> to, byte[] message) {
+    /**
+     * Observers are not made for two threads: the library's answers to the client, and the test's. And the message is
+     * made in its turn: progress up to a revision must not be told before that revision's changes.
+     */
+    private static void send(StreamObserver<byte[]> to, Supplier<byte[]> message) {
         synchronized (to) {
-            to.onNext(message);
+            to.onNext(message.get());
         }
     }
 
@@ -99,7 +103,7 @@
                 public void onNext(byte[] request) {
                     asked.add(request);
                     boolean watches = !Arrays.equals(EtcdMessages.progress(), request);
-                    send(answer, Protobuf.message(out -> {
+                    send(answer, () -> Protobuf.message(out -> {
                         out.writeByteArray(1, header(revision.get()));
                         out.writeBool(3, watches);
                     }));
@@ -133,8 +137,8 @@
                 assertEquals(new Change("oaxaca/nodos/" + i, large, 4, 4), told.poll(GENEROUS_S, TimeUnit.SECONDS));
             }
             StreamObserver<byte[]> first = begun.poll(GENEROUS_S, TimeUnit.SECONDS);
-            revision.set(6);
-            send(first, Protobuf.message(out -> {
+            send(first, () -> Protobuf.message(out -> {
+                revision.set(6);
                 out.writeByteArray(1, header(6));
                 out.writeByteArray(11, Protobuf.message(event -> event.writeByteArray(2, kv("oaxaca/nodos/0", "new", 6))));
                 out.writeByteArray(11, Protobuf.message(event -> {
@@ -147,8 +151,8 @@
             // The stream ends with a status: the next watch begins behind what was told.
             first.onError(io.grpc.Status.UNAVAILABLE.withDescription("leader changed").asRuntimeException());
             StreamObserver<byte[]> second = begun.poll(GENEROUS_S, TimeUnit.SECONDS);
-            revision.set(7);
-            send(second, Protobuf.message(out -> {
+            send(second, () -> Protobuf.message(out -> {
+                revision.set(7);
                 out.writeByteArray(1, header(7));
                 out.writeByteArray(11, Protobuf.message(event -> event.writeByteArray(2, kv("oaxaca/nodos/1", "back", 7))));
             }));
