--- a/src/main/java/gatefront/rehearsal/registry/EtcdStand.java
+++ b/src/main/java/gatefront/rehearsal/registry/EtcdStand.java
@@ -183,7 +183,15 @@
             }
             if (secret() != null && !secret().equals(token)) {
                 counted(path.endsWith("/Range"));
-                end(STATUS_UNAUTHENTICATED, "etcdserver: invalid auth token");
+                if (path.endsWith("/Range")) {
+                    end(STATUS_UNAUTHENTICATED, "etcdserver: invalid auth token");
+                } else { // a watch is not refused by a status: it is made and cancelled
+                    send(watched(0, revision(), out -> {
+                        out.writeBool(3, true);
+                        out.writeBool(4, true);
+                        out.writeString(6, "etcdserver: invalid auth token");
+                    }));
+                }
             } else if (isOverloaded()) {
                 counted(path.endsWith("/Range"));
                 end(STATUS_EXHAUSTED, "etcdserver: too many requests");
--- a/src/test/java/gatefront/registry/EtcdCallsTest.java
+++ b/src/test/java/gatefront/registry/EtcdCallsTest.java
@@ -99,6 +99,7 @@
         same();
         members.forEach(each -> each.secret("token-2"));
         members.forEach(RegistryStand::cut);
+        run(100 * MS); // else the old watch would still tell it
         put("nodos/a", "2");
         run(3 * SECOND);
         same();
