--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -117,6 +117,18 @@
         assertEquals(3_000, held(Purpose.REQUESTS).get("bytes_highest").asLong());
     }
 
+    @Test
+    void aCallerThatLeavesInTheMiddleOfItsBodyGivesBackWhatHasCome() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start("");
+        Socket caller = stage.dial();
+        String request = stage.request("pay", 8_000, "x".repeat(6_000));
+        Peer.write(caller, request.substring(0, request.length() - 3_000));
+        Stage.await(() -> held(Purpose.REQUESTS).get("bytes").asLong() == 3_000);
+        caller.close();
+        empties(Purpose.REQUESTS);
+    }
+
     @Test
     void anAnswerOverTheCapEndsItsAttemptAndIsGivenBack() throws Exception {
         stage.server((message, socket) -> Peer.answer(socket, 200, "", "x".repeat(8_000)));
