--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gatefront.budget.Budget;
 import gatefront.budget.Purpose;
 import gatefront.config.Config;
 import gatefront.toml.TomlException;
@@ -179,6 +180,52 @@
         Stage.await(() -> held(Purpose.CALLER_CONNECTIONS).get("entries").asLong() == 0);
     }
 
+    /** Those in the middle of a request must not be closed for others: they are not accepted until there is room. */
+    @Test
+    void callersOverTheirCapAreNotAcceptedWhileNoneCanGo() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start(cap(Purpose.CALLER_CONNECTIONS, "entries = 3"));
+        List<Socket> begun = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Socket caller = stage.dial();
+            Peer.write(caller, "GET /lookup");
+            begun.add(caller);
+            if (i < 3) {
+                int all = i + 1;
+                Stage.await(() -> held(Purpose.CALLER_CONNECTIONS).get("entries").asLong() == all);
+            }
+        }
+        Thread.sleep(300);
+        assertEquals(3, held(Purpose.CALLER_CONNECTIONS).get("entries").asLong());
+        for (Socket each : begun) {
+            each.close();
+        }
+        Stage.await(() -> held(Purpose.CALLER_CONNECTIONS).get("entries").asLong() == 0);
+        assertEquals(200, stage.call("lookup").status());
+    }
+
+    /** No purpose is at a cap of its own: together they are tight, then full; and there is room again afterwards. */
+    @Test
+    void twoPurposesTogetherEndConnectionsAndThenTurnNewCallsAway() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        start("");
+        Budget budget = stage.agent.budget();
+        assertEquals(null, stage.call("lookup").header("Connection"));
+        budget.of(Purpose.SERVERS).add(0, (long) (0.45 * budget.total()));
+        budget.of(Purpose.CALLS).add(0, (long) (0.3 * budget.total()));
+        Peer.Message tight = stage.call("lookup");
+        assertEquals(200, tight.status());
+        assertEquals("close", tight.header("Connection"));
+        budget.of(Purpose.CALLS).add(0, (long) (0.2 * budget.total()));
+        Peer.Message refused = stage.call("lookup");
+        assertEquals(503, refused.status());
+        assertNotNull(refused.header("Retry-After"));
+        budget.of(Purpose.SERVERS).add(0, -(long) (0.45 * budget.total()));
+        Peer.Message again = stage.call("lookup");
+        assertEquals(200, again.status());
+        assertEquals(null, again.header("Connection"));
+    }
+
     @Test
     void connectionsToServersOverTheirCapAreNotMade() throws Exception {
         slow();
