--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -18,6 +18,7 @@
 import gatefront.thrift.ThriftUpstream;
 import gatefront.transport.SocketTransport;
 import gatefront.transport.Transport;
+import gatefront.upgrade.Neighbour;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -73,6 +74,8 @@
     /** Makes one list of several sources; null where the padrón is the only one. */
     private final Sources sources;
     private final HttpFront clients;
+    /** What operators do with it; null where they have no door. */
+    private final Operations operations;
     /** All of them, that over HTTP first. */
     private final List<Front> fronts = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -82,9 +85,13 @@
     /** Whether a list has come, or has been waited for long enough; and whether the path has been run. */
     private boolean listed;
     private boolean warm;
+    /** Whether it listens for callers. */
+    private boolean serves;
+    private boolean binding;
     private int warmedBy;
 
-    private Agent(Config config, Extensions extensions, Transport transport, Function<Engine, Balancer> module) {
+    private Agent(Config config, Extensions extensions, Transport transport, Neighbour neighbour,
+                  Function<Engine, Balancer> module) {
         ThriftSettings thrift = extensions.thrift();
         this.config = config;
         this.transport = transport;
@@ -107,7 +114,7 @@
                     sources.padron(kind, endpoints);
                 } else {
                     listed = true;
-                    engine.servers(kind, endpoints);
+                    servers(kind, endpoints);
                 }
             }
 
@@ -137,13 +144,34 @@
         }, budget, module);
         sources = extensions.registry() == null ? null
             : new Sources(transport, config, extensions.registry(), budget.of(Purpose.REGISTRY), engine,
-                () -> listed = true);
+                this::servers, () -> listed = true);
         clients = new HttpFront(transport, config, each, this::ready, budget, engine.through(backends));
         fronts.add(clients);
         if (thrift != null) {
             fronts.add(new ThriftFront(transport, config, thrift, each, this::ready, budget,
                 engine.through(overThrift)));
         }
+        operations = config.management() == null ? null : operations(this, neighbour);
+    }
+
+    private static Operations operations(Agent agent, Neighbour neighbour) {
+        return new Operations(agent.transport, agent.config.management(), neighbour, agent.engine,
+            new Operations.Host() {
+                @Override
+                public boolean ready() {
+                    return agent.ready() && !agent.stopping.get();
+                }
+
+                @Override
+                public List<String> classes() {
+                    return agent.config.classes();
+                }
+
+                @Override
+                public void alone() {
+                    agent.takeOver();
+                }
+            });
     }
 
     /** What each purpose may hold where nothing else is said; the connections' own limits hold them besides. */
@@ -184,8 +212,24 @@
      * @throws IOException if an address cannot be listened on
      */
     public static Agent start(Path config, Path extensions) throws IOException {
-        Config read = Config.read(config);
-        return start(read, extensions == null ? Extensions.NONE : Extensions.read(extensions, read), Engine::usual);
+        return start(config, extensions, null, null);
+    }
+
+    /**
+     * The same, as the platform starts it.
+     *
+     * @param config its configuration file
+     * @param extensions the file of our own beside it, or null
+     * @param management where operators call, if the configuration does not say so; or null
+     * @param shared the folder common to two processes of the agent, or null
+     * @return the running agent
+     * @throws IllegalArgumentException if a file is unusable; the message is one plain line
+     * @throws IOException if an address cannot be listened on
+     */
+    public static Agent start(Path config, Path extensions, String management, Path shared) throws IOException {
+        Config read = Config.read(config).managedAt(management);
+        return serve(read, extensions == null ? Extensions.NONE : Extensions.read(extensions, read), shared,
+            Engine::usual);
     }
 
     static Agent start(Config config) throws IOException {
@@ -194,19 +238,31 @@
 
     /** With another module than the usual one. */
     static Agent start(Config config, Function<Engine, Balancer> module) throws IOException {
-        return start(config, Extensions.NONE, module);
+        return serve(config, Extensions.NONE, null, module);
     }
 
     /** With what an installation has besides. */
     static Agent start(Config config, Extensions extensions) throws IOException {
-        return start(config, extensions, Engine::usual);
+        return serve(config, extensions, null, Engine::usual);
+    }
+
+    /** With a folder that it shares with other processes of the same agent. */
+    static Agent start(Config config, Path shared) throws IOException {
+        return serve(config, Extensions.NONE, shared, Engine::usual);
     }
 
-    private static Agent start(Config config, Extensions extensions, Function<Engine, Balancer> module)
+    private static Agent serve(Config config, Extensions extensions, Path shared, Function<Engine, Balancer> module)
             throws IOException {
         SocketTransport sockets = new SocketTransport();
-        Agent agent = new Agent(config, extensions, sockets, module);
-        for (Front each : agent.fronts) {
+        Neighbour neighbour = shared == null || config.management() == null ? null : new Neighbour(shared,
+            Long.toHexString(config.seed()) + "-" + Long.toHexString(sockets.wallMicros()), sockets::log);
+        Agent agent = new Agent(config, extensions, sockets, neighbour, module);
+        if (agent.operations != null && !agent.operations.listen().awaitUninterruptibly().isSuccess()) {
+            sockets.close(() -> { });
+            throw new IOException("cannot listen on " + config.management() + " for the operators");
+        }
+        agent.serves = !agent.follows();
+        for (Front each : agent.serves ? agent.fronts : List.<Front>of()) {
             ChannelFuture bound = each.listen().awaitUninterruptibly();
             if (!bound.isSuccess()) {
                 sockets.close(() -> { });
@@ -237,7 +293,8 @@
      */
     public static Agent start(Config config, Extensions extensions, Transport transport,
                               Function<Engine, Balancer> module) {
-        Agent agent = new Agent(config, extensions, transport, module);
+        Agent agent = new Agent(config, extensions, transport, null, module);
+        agent.serves = true;
         int[] waiting = {agent.fronts.size()};
         agent.fronts.forEach(each -> each.listen().addListener(done -> {
             if (done.isSuccess() && --waiting[0] == 0) {
@@ -250,8 +307,12 @@
     private void begin() {
         loop.scheduleWithFixedDelay(() -> budget.rising(engine.now()).forEach(this::say), TREND_SECONDS, TREND_SECONDS,
             TimeUnit.SECONDS);
-        InetSocketAddress at = address();
-        say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
+        if (serves) {
+            sayWhere();
+        }
+        if (operations != null) {
+            operations.start();
+        }
         Discovery.Listing known;
         try {
             known = Discovery.decode(config.known(), config);
@@ -260,7 +321,7 @@
             known = new Discovery.Listing(0, true, List.of());
         }
         if (sources == null) {
-            engine.servers(Balancer.ListKind.CACHED, known.endpoints());
+            servers(Balancer.ListKind.CACHED, known.endpoints());
         } else {
             sources.padron(Balancer.ListKind.CACHED, known.endpoints());
             sources.start();
@@ -268,13 +329,50 @@
         if (!config.settings().askDiscovery() && asksPadron()) {
             discovery.watch();
         }
-        loop.schedule(() -> listed = true, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
-        Warmup.run(transport, config, backends, clients, answered -> {
+        loop.schedule(() -> {
+            listed = true;
+            takeOver();
+        }, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+        Warmup.run(transport, config, backends, clients, serves ? address() : operations.address(),
+            serves ? "/healthz" : "/healthcheck", answered -> {
             warm = true;
             warmedBy = answered;
+            takeOver();
         });
     }
 
+    private void sayWhere() {
+        InetSocketAddress at = address();
+        say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
+    }
+
+    private boolean follows() {
+        return operations != null && operations.follows();
+    }
+
+    /** The one list, from whatever sources; what is out by hand is laid over it. */
+    private void servers(Balancer.ListKind kind, List<Endpoint> endpoints) {
+        engine.servers(kind, operations == null ? endpoints : operations.told(kind, endpoints));
+    }
+
+    /** Listens beside the process that serves, once this one can serve, or alone if that has ended. */
+    private void takeOver() {
+        if (serves || binding || follows() && !(listed && warm)) {
+            return;
+        }
+        binding = true;
+        int[] waiting = {fronts.size()};
+        fronts.forEach(each -> each.listen().addListener(done -> {
+            if (!done.isSuccess()) {
+                say("cannot listen beside the process that serves: " + done.cause().getMessage());
+                transport.close(ended::countDown); // that one serves on, as if this had never been
+            } else if (--waiting[0] == 0) {
+                serves = true;
+                sayWhere();
+            }
+        }));
+    }
+
     private boolean asksPadron() {
         return sources == null || sources.padron();
     }
@@ -298,6 +396,11 @@
         return status.address();
     }
 
+    /** Where operators call. */
+    InetSocketAddress management() {
+        return operations.address();
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return (InetSocketAddress) clients.channel().localAddress();
@@ -365,8 +468,9 @@
             .orElse(0) / 1000;
         long last = longest + KILL_AFTER_MS - LAST_MS;
         loop.execute(() -> {
-            fronts.forEach(Front::leave);
-            loop.schedule(this::endIfUnused, LINGER_MS, TimeUnit.MILLISECONDS);
+            boolean handsOver = operations != null && serves && operations.followed();
+            fronts.forEach(handsOver ? Front::handOver : Front::leave);
+            loop.schedule(this::endIfUnused, handsOver ? 0 : LINGER_MS, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, Math.min(SERVE_ON_MOST_MS, last - CLOSING_MS), TimeUnit.MILLISECONDS);
             loop.schedule(engine::giveUpAll, last, TimeUnit.MILLISECONDS);
         });
@@ -400,6 +504,9 @@
             if (status != null) {
                 status.close();
             }
+            if (operations != null) {
+                operations.close();
+            }
             transport.close(() -> {
                 ended.countDown();
                 whenEnded.run();
@@ -429,7 +536,7 @@
 
     /** Whether it says that it is ready; to be asked on its loop. */
     public boolean ready() {
-        return listed && warm;
+        return listed && warm && serves;
     }
 
     /** What it holds now; to be asked on its loop. */
--- /dev/null
+++ b/src/main/java/gatefront/agent/Operations.java
@@ -0,0 +1,186 @@
+package gatefront.agent;
+
+import gatefront.engine.Engine;
+import gatefront.engine.Tally;
+import gatefront.management.Door;
+import gatefront.membership.Bans;
+import gatefront.membership.Endpoint;
+import gatefront.policy.Balancer.ListKind;
+import gatefront.transport.Transport;
+import gatefront.upgrade.Neighbour;
+import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What operators do with an agent, put together: the door, bans laid over the list, and what another process of the
+ * same agent is told of them. Not loaded where there is no door. All of it runs on the agent's loop.
+ */
+final class Operations implements Door.Agent {
+    /** How often the other process is looked for: a ban at its door is to hold here within the grace of a drain. */
+    private static final long LOOK_MS = 100;
+    /** A server is back so long after the yes has been written: time for that to arrive. */
+    private static final long RETURN_MS = 50;
+
+    /** What it asks of the agent. */
+    interface Host {
+        /** Whether the process is ready to serve. */
+        boolean ready();
+
+        /** Names of the classes by their numbers, dropped ones too. */
+        List<String> classes();
+
+        /** The process that served has ended. */
+        void alone();
+    }
+
+    private final Transport transport;
+    private final Host host;
+    private final Engine engine;
+    private final Door door;
+    private final Bans bans = new Bans();
+    /** Null where nothing is shared. */
+    private final Neighbour neighbour;
+    /** Servers that are about to be put back; each goes after {@link #RETURN_MS}. */
+    private final Map<String, Future<?>> returning = new HashMap<>();
+    private Future<?> looking;
+    private boolean follows;
+    private long applied;
+    private long rejected;
+
+    Operations(Transport transport, InetSocketAddress listen, Neighbour neighbour, Engine engine, Host host) {
+        this.transport = transport;
+        this.host = host;
+        this.engine = engine;
+        this.neighbour = neighbour;
+        this.follows = neighbour != null && neighbour.follows();
+        this.door = new Door(transport, listen, this);
+    }
+
+    ChannelFuture listen() {
+        return door.listen();
+    }
+
+    InetSocketAddress address() {
+        return door.address();
+    }
+
+    /** Whether another process serves, and this one is to take over from it. */
+    boolean follows() {
+        return follows;
+    }
+
+    /** Whether another process is there to take over from this one. */
+    boolean followed() {
+        return neighbour != null && neighbour.followed();
+    }
+
+    /** Hears of what the other process has told so far, and from now on of the rest; before the first list. */
+    void start() {
+        if (neighbour != null) {
+            look();
+            looking = transport.loop().scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void close() {
+        door.close();
+        if (looking != null) {
+            looking.cancel(false);
+            neighbour.close();
+        }
+    }
+
+    /** The list with what is out by hand. */
+    List<Endpoint> told(ListKind kind, List<Endpoint> endpoints) {
+        return bans.told(kind, endpoints);
+    }
+
+    /** A file of settings was taken, or turned down. */
+    void reloaded(boolean taken) {
+        applied += taken ? 1 : 0;
+        rejected += taken ? 0 : 1;
+    }
+
+    private void look() {
+        List<Endpoint> lines = bans.merge(neighbour.look());
+        boolean news = bans.changed();
+        if (news) {
+            neighbour.tell(bans.entries());
+        }
+        if (!lines.isEmpty()) {
+            engine.servers(ListKind.DELTA, lines);
+        }
+        if (!neighbour.follows() && neighbour.others() && !neighbour.followed()) {
+            neighbour.tidy();
+        }
+        if (follows && !neighbour.follows()) {
+            follows = false;
+            host.alone();
+        }
+    }
+
+    @Override
+    public boolean ready() {
+        return host.ready();
+    }
+
+    @Override
+    public Bans.Answer hand(String backend, boolean out) {
+        if (neighbour != null) {
+            look(); // a call at the other door may have come just before
+        }
+        Future<?> earlier = returning.remove(backend);
+        if (earlier != null) {
+            earlier.cancel(false);
+        }
+        if (!out && bans.isOut(backend)) {
+            // Guards against a request that is there before the operator has the yes: what is held goes out at once.
+            returning.put(backend, transport.loop().schedule(() -> {
+                returning.remove(backend);
+                apply(backend, false);
+            }, RETURN_MS, TimeUnit.MILLISECONDS));
+            return Bans.Answer.YES;
+        }
+        return apply(backend, out);
+    }
+
+    private Bans.Answer apply(String backend, boolean out) {
+        Bans.Answer answer = bans.call(backend, out, transport.wallMicros());
+        if (bans.changed()) {
+            transport.log("server " + backend + (out ? " taken out by hand" : " put back by hand"));
+            if (neighbour != null) {
+                neighbour.tell(bans.entries());
+            }
+            List<Endpoint> line = bans.line(backend);
+            if (!line.isEmpty()) {
+                engine.servers(ListKind.DELTA, line);
+            }
+        }
+        return answer;
+    }
+
+    @Override
+    public Map<String, Long> figures() {
+        Map<String, Long> figures = new LinkedHashMap<>();
+        Tally tally = engine.tally();
+        List<String> classes = host.classes();
+        for (int i = 0; i < classes.size(); i++) {
+            figures.put("ok." + classes.get(i), tally.ok(i));
+            figures.put("shed." + classes.get(i), tally.shed(i));
+            figures.put("errors." + classes.get(i), tally.errors(i));
+        }
+        figures.put("tries", tally.tries());
+        figures.put("active", tally.active());
+        figures.put("pool_size", (long) bans.listed());
+        figures.put("pool_ejected", (long) bans.out() + engine.avoided());
+        figures.put("config_applied", applied);
+        figures.put("config_rejected", rejected);
+        return figures;
+    }
+}
--- a/src/main/java/gatefront/agent/Sources.java
+++ b/src/main/java/gatefront/agent/Sources.java
@@ -12,13 +12,14 @@
 import gatefront.transport.Transport;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
 /** Makes one list for the engine where there are more sources than the padrón; not loaded where there are none. */
 final class Sources {
     private static final int PADRON = 0;
 
-    private final Engine engine;
+    private final BiConsumer<ListKind, List<Endpoint>> servers;
     private final Membership membership;
     private final RegistryFeed registry;
     private final boolean padron;
@@ -28,11 +29,12 @@
      * Sources that are not yet followed.
      *
      * @param held what the registry's keys count as
+     * @param servers is told of the one list
      * @param listed told when one of them has said what there is
      */
     Sources(Transport transport, Config config, RegistrySettings settings, Account held, Engine engine,
-            Runnable listed) {
-        this.engine = engine;
+            BiConsumer<ListKind, List<Endpoint>> servers, Runnable listed) {
+        this.servers = servers;
         this.listed = listed;
         this.padron = !settings.instead();
         this.membership = new Membership(padron ? List.of("padrón", "registry") : List.of("registry"), transport::log);
@@ -78,7 +80,7 @@
      */
     void padron(ListKind kind, List<Endpoint> endpoints) {
         if (kind == ListKind.FAILED) {
-            engine.servers(kind, endpoints);
+            servers.accept(kind, endpoints);
         } else {
             told(PADRON, kind, endpoints);
         }
@@ -89,7 +91,7 @@
         if (kind == ListKind.DELTA) {
             changed(changed);
         } else {
-            engine.servers(kind, membership.all());
+            servers.accept(kind, membership.all());
         }
         if (kind != ListKind.CACHED) {
             listed.run();
@@ -98,7 +100,7 @@
 
     private void changed(List<Endpoint> endpoints) {
         if (!endpoints.isEmpty()) {
-            engine.servers(ListKind.DELTA, endpoints);
+            servers.accept(ListKind.DELTA, endpoints);
         }
     }
 }
--- a/src/main/java/gatefront/agent/Warmup.java
+++ b/src/main/java/gatefront/agent/Warmup.java
@@ -41,6 +41,7 @@
     private final Config config;
     private final HttpUpstream backends;
     private final HttpFront clients;
+    private final InetSocketAddress own;
     private final IntConsumer then;
     private final Balancer module;
     private final HttpUpstream.Outgoing outgoing;
@@ -51,31 +52,36 @@
     private boolean over;
 
     private Warmup(Transport transport, Config config, HttpUpstream backends, HttpFront clients,
-                   IntConsumer then) {
+                   InetSocketAddress own, String path, IntConsumer then) {
         this.transport = transport;
         this.loop = transport.loop();
         this.config = config;
         this.backends = backends;
         this.clients = clients;
+        this.own = own;
         this.then = then;
         this.module = new Rules(config.settings(), config.seed(), micros(), this);
-        this.outgoing = new HttpUpstream.Outgoing(HttpMethod.GET, "/healthz", example().headers()
+        this.outgoing = new HttpUpstream.Outgoing(HttpMethod.GET, path, example().headers()
             .remove("Request-Id"), HttpUpstream.NO_BODY);
-        this.ends = new HttpUpstream.Outgoing(HttpMethod.GET, "/healthz",
+        this.ends = new HttpUpstream.Outgoing(HttpMethod.GET, path,
             outgoing.headers().copy().set("Connection", "close"), HttpUpstream.NO_BODY);
     }
 
-    /** Warms up on the loop and tells there, when that is over, how many requests were answered. */
+    /**
+     * Warms up on the loop and tells there, when that is over, how many requests were answered.
+     *
+     * @param own an address where this agent listens
+     * @param path where it says there whether it is ready
+     */
     static void run(Transport transport, Config config, HttpUpstream backends, HttpFront clients,
-                    IntConsumer then) {
-        new Warmup(transport, config, backends, clients, then).start();
+                    InetSocketAddress own, String path, IntConsumer then) {
+        new Warmup(transport, config, backends, clients, own, path, then).start();
     }
 
     private void start() {
         loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
         Balancer.Server self =
             new Balancer.Server(SELF, config.settings().zone(), 0, 0, Balancer.Phase.READY, 1, 0);
-        InetSocketAddress own = (InetSocketAddress) clients.channel().localAddress();
         backends.self(SELF, own);
         module.servers(micros(), Balancer.ListKind.FULL, List.of(self));
         next();
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -51,7 +51,8 @@
             return 2;
         }
         if (args[0].equals("serve")) {
-            return serve(System.getenv("RELAY_CONFIG"), System.getenv("GATEFRONT_EXTENSIONS"), err);
+            return serve(System.getenv("RELAY_CONFIG"), System.getenv("GATEFRONT_EXTENSIONS"),
+                System.getenv("RELAY_MANAGEMENT"), System.getenv("TMPDIR"), err);
         }
         try {
             new Drill(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
@@ -63,7 +64,7 @@
     }
 
     /** Runs an agent until the process is asked to end. */
-    static int serve(String config, String extensions, PrintStream err) {
+    static int serve(String config, String extensions, String management, String shared, PrintStream err) {
         Agent agent;
         CompletableFuture<Agent> started = new CompletableFuture<>();
         try {
@@ -79,7 +80,7 @@
                 err.println("reload: SIGHUP is ignored here, so a new configuration needs a restart; "
                     + "start the agent without nohup");
             }
-            agent = Agent.start(file, ofOurOwn);
+            agent = Agent.start(file, ofOurOwn, management, shared == null ? null : Path.of(shared));
             started.complete(agent);
         } catch (IOException | IllegalArgumentException e) {
             err.println("gatefront: " + e.getMessage());
--- a/src/main/java/gatefront/config/Config.java
+++ b/src/main/java/gatefront/config/Config.java
@@ -43,9 +43,11 @@
  * @param loadByProbe whether only probes bring load reports
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
+ * @param management where operators call; null if they have no door
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                     JsonNode known, Balancer.Settings settings, List<String> classes, List<String> tenants,
+public record Config(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery,
+                     long seed, int sockets, JsonNode known, Balancer.Settings settings, List<String> classes,
+                     List<String> tenants,
                      List<String> zones, List<String> kinds, List<String> loadFields, boolean loadByProbe,
                      long connectTimeoutMicros, long idleCloseMicros) {
 
@@ -65,12 +67,21 @@
         return of(root);
     }
 
+    /** The same with a door for operators at this address; null changes nothing. */
+    public Config managedAt(String address) {
+        return address == null || address.isEmpty() ? this : new Config(listen, address(address), discovery, seed,
+            sockets, known, settings, classes, tenants, zones, kinds, loadFields, loadByProbe, connectTimeoutMicros,
+            idleCloseMicros);
+    }
+
     /** Takes the configuration from its JSON. */
     public static Config of(JsonNode root) {
         JsonNode settings = need(root, "settings");
         Map<String, String> pairs = new HashMap<>();
         flatten("", settings, pairs);
-        return new Config(address(text(root, "listen")), address(text(root, "discovery")),
+        return new Config(address(text(root, "listen")),
+            root.path("management").asText("").isEmpty() ? null : address(text(root, "management")),
+            address(text(root, "discovery")),
             seed(text(root, "seed")), (int) atLeast(64, need(root, "limits"), "sockets"), root.path("known"),
             SettingsParser.parse(pairs), names(settings.path("classes")), names(settings.path("realms")),
             names(settings.path("zones")), names(settings.path("kinds")),
--- a/src/main/java/gatefront/connection/AcceptingFront.java
+++ b/src/main/java/gatefront/connection/AcceptingFront.java
@@ -65,6 +65,7 @@
     private final Account answers;
     private boolean leaving;
     private boolean draining;
+    private boolean handedOver;
 
     /**
      * Listens to nobody yet; {@link #listen()} begins.
@@ -88,7 +89,7 @@
         for (State each : State.values()) {
             at.put(each, new LinkedHashSet<>());
         }
-        bootstrap = new ServerBootstrap().group(transport.loop()).channelFactory(transport.listeners())
+        bootstrap = new ServerBootstrap().group(transport.loop()).channelFactory(transport.sharedListeners())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<Channel>() {
@@ -125,6 +126,13 @@
         leaving = true;
     }
 
+    @Override
+    public void handOver() {
+        leaving = true;
+        handedOver = true;
+        transport.closeShared(server);
+    }
+
     @Override
     public void drain() {
         draining = true;
@@ -151,7 +159,7 @@
 
     /** Whether each answer is to be its connection's last: at the end, and while room is scarce. */
     protected final boolean closing() {
-        return draining || pressed();
+        return draining || handedOver || pressed();
     }
 
     /**
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -29,7 +29,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * The connections to the servers: a pool for each, one attempt a connection at a time. What a protocol adds is how a
@@ -232,14 +231,14 @@
     // ---- Attempts ----
 
     @Override
-    public Upstream.Attempt send(long server, Payload request, long timeoutMicros, Consumer<Result> then) {
+    public Upstream.Attempt send(long server, Payload request, long timeoutMicros, Listener then) {
         Attempt attempt = new Attempt(request, timeoutMicros, then);
         attempt.start(server);
         return attempt;
     }
 
     @Override
-    public void probe(long server, Consumer<Result> then) {
+    public void probe(long server, Listener then) {
         new Attempt(probe(), PROBE_TIMEOUT_MICROS, then).start(server);
     }
 
@@ -247,7 +246,7 @@
     protected final class Attempt implements Upstream.Attempt {
         private final Payload request;
         private final int number = ++attempts;
-        private final Consumer<Result> then;
+        private final Listener then;
         private final long endAt;
         private final boolean limited;
         private final Future<?> timer;
@@ -257,7 +256,7 @@
         private boolean written;
         private boolean ended;
 
-        private Attempt(Payload request, long timeoutMicros, Consumer<Result> then) {
+        private Attempt(Payload request, long timeoutMicros, Listener then) {
             this.request = request;
             this.then = then;
             this.limited = timeoutMicros > 0;
@@ -323,6 +322,7 @@
                 if (done.isSuccess()) {
                     written = true;
                     left(this);
+                    then.written();
                 } else {
                     end(Outcome.CONNECT_FAILED); // the last byte never left, so it cannot have begun
                 }
@@ -371,7 +371,7 @@
             } else if (dialled != null) {
                 dialled.close();
             }
-            loop.execute(() -> then.accept(result));
+            loop.execute(() -> then.ended(result));
         }
     }
 
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -44,6 +44,7 @@
     private final Account calls;
     private final Account listed;
     private final ClassLimits limits;
+    private final Tally tally;
     /**
      * Calls taken and not yet done with, by the module's ids, by their exchanges and by their callers' ids: each
      * goes when it is answered and no attempt is out, which its own guard sees to at its deadline at the latest.
@@ -110,6 +111,7 @@
         this.transport = transport;
         this.settings = settings;
         this.limits = new ClassLimits(settings.classes().size());
+        this.tally = new Tally(settings.classes().size());
         this.seed = seed;
         this.loop = transport.loop();
         this.upstreams = List.copyOf(upstreams);
@@ -128,6 +130,21 @@
         return anchorMicros + transport.nanos() / 1000;
     }
 
+    /** How requests have ended; to be asked on its loop. */
+    public Tally tally() {
+        return tally;
+    }
+
+    /** How many servers are listed; to be asked on its loop. */
+    public int listed() {
+        return names.size();
+    }
+
+    /** How many of them the module avoids by choice; to be asked on its loop. */
+    public int avoided() {
+        return balancer.avoided(now());
+    }
+
     /** What it holds now; to be asked on its loop. */
     public Held held() {
         return new Held(Math.max(open.size(), Math.max(byExchange.size(), byName.size())),
@@ -181,6 +198,7 @@
         if (!pending.answered) {
             say("request given up: " + why);
             pending.exchange.failed(why);
+            tally.failed(pending.call.requestClass());
             answered(pending);
             event(() -> balancer.clientLeft(now(), pending.id));
             abandon(pending);
@@ -251,15 +269,18 @@
         // not passed on, whoever sent it and by whatever protocol, and the first goes on unharmed.
         if (byName.containsKey(call.id())) {
             exchange.failed(Exchange.Failure.DUPLICATE);
+            tally.failed(call.requestClass());
             return;
         }
         // Guards against falling over with all that is held: what is new is turned away, and told when to come back.
         if (budget.pressure() == Budget.Pressure.FULL || budget.of(Purpose.ANSWERS).full()
                 || !room(call.requestClass()) || !calls.take(0)) {
             exchange.refused(RETRY_AFTER_MICROS);
+            tally.refused(call.requestClass());
             return;
         }
         limits.begun(call.requestClass());
+        tally.begun();
         long id = nextId++;
         Pending pending = new Pending(id, call, exchange, upstream);
         open.put(id, pending);
@@ -288,6 +309,7 @@
     private void left(Exchange exchange) {
         Pending pending = byExchange.get(exchange);
         if (pending != null && !pending.answered) {
+            tally.failed(pending.call.requestClass());
             answered(pending);
             event(() -> balancer.clientLeft(now(), pending.id));
             abandon(pending);
@@ -305,9 +327,11 @@
         boolean bad = result.rejected() != null;
         if (!pending.answered && bad) {
             pending.exchange.rejected(result.rejected());
+            tally.failed(pending.call.requestClass());
             answered(pending);
         } else if (!pending.answered && result.served() != null) {
             pending.exchange.served(result.served());
+            tally.served(pending.call.requestClass());
             answered(pending);
         }
         Balancer.Outcome outcome = bad ? Balancer.Outcome.CANCELLED : result.outcome();
@@ -318,6 +342,7 @@
 
     private void answered(Pending pending) {
         pending.answered = true;
+        tally.ended();
         pending.guard.cancel(false);
         byExchange.remove(pending.exchange);
         forget(pending);
@@ -344,8 +369,17 @@
         int attempt = pending.attempts.size();
         long sentAt = now();
         pending.out++;
-        pending.attempts.add(pending.upstream.send(server, pending.call.payload(), timeout,
-            result -> outcome(pending, attempt, server, sentAt, result)));
+        pending.attempts.add(pending.upstream.send(server, pending.call.payload(), timeout, new Upstream.Listener() {
+            @Override
+            public void ended(Upstream.Result result) {
+                outcome(pending, attempt, server, sentAt, result);
+            }
+
+            @Override
+            public void written() {
+                tally.tried();
+            }
+        }));
     }
 
     @Override
@@ -353,6 +387,7 @@
         Pending pending = open.get(request);
         if (pending != null && !pending.answered) {
             pending.exchange.refused(retryAfter > 0 ? retryAfter : RETRY_AFTER_MICROS);
+            tally.refused(pending.call.requestClass());
             answered(pending);
         }
     }
@@ -362,6 +397,7 @@
         Pending pending = open.get(request);
         if (pending != null && !pending.answered) {
             pending.exchange.failed(Exchange.Failure.NOT_SERVED);
+            tally.failed(pending.call.requestClass());
             answered(pending);
         }
     }
--- a/src/main/java/gatefront/engine/Front.java
+++ b/src/main/java/gatefront/engine/Front.java
@@ -23,6 +23,9 @@
     /** From now on it says that it is not ready; all else goes on. */
     void leave();
 
+    /** Another process takes over its address: no further connections, and each answer is the last of its own. */
+    void handOver();
+
     /** From now on each answer is the last of its connection, and connections in no use are closed. */
     void drain();
 
--- /dev/null
+++ b/src/main/java/gatefront/engine/Tally.java
@@ -0,0 +1,83 @@
+package gatefront.engine;
+
+import java.util.Arrays;
+
+/**
+ * How requests have ended, by the number of their class, and what is under way. One thread; counts from the process's
+ * start. A number for each class that there ever was: classes are bounded where they get their numbers.
+ */
+public final class Tally {
+    private long[] ok;
+    private long[] shed;
+    private long[] errors;
+    private long tries;
+    private long active;
+
+    /** Nothing yet, of so many classes. */
+    public Tally(int classes) {
+        ok = new long[classes];
+        shed = new long[classes];
+        errors = new long[classes];
+    }
+
+    /** There are so many classes now. */
+    void grow(int classes) {
+        ok = Arrays.copyOf(ok, classes);
+        shed = Arrays.copyOf(shed, classes);
+        errors = Arrays.copyOf(errors, classes);
+    }
+
+    void served(int of) {
+        ok[of]++;
+    }
+
+    void refused(int of) {
+        shed[of]++;
+    }
+
+    void failed(int of) {
+        errors[of]++;
+    }
+
+    void tried() {
+        tries++;
+    }
+
+    void begun() {
+        active++;
+    }
+
+    void ended() {
+        active--;
+    }
+
+    /** Served, of a class. */
+    public long ok(int of) {
+        return ok[of];
+    }
+
+    /** Refused, of a class. */
+    public long shed(int of) {
+        return shed[of];
+    }
+
+    /** Failed, of a class; those whose caller has gone are among them. */
+    public long errors(int of) {
+        return errors[of];
+    }
+
+    /** How many classes have counts. */
+    public int classes() {
+        return ok.length;
+    }
+
+    /** Attempts whose last byte has left for a server; probes are none. */
+    public long tries() {
+        return tries;
+    }
+
+    /** Requests taken and not ended. */
+    public long active() {
+        return active;
+    }
+}
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -2,7 +2,6 @@
 
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer.Outcome;
-import java.util.function.Consumer;
 
 /**
  * The way to the servers. Every result comes later, never within the call that asks for it, and exactly once.
@@ -19,6 +18,15 @@
      */
     record Result(Outcome outcome, double[] load, Payload served, Payload rejected) { }
 
+    /** What hears of an attempt or probe; its result comes last, and once. */
+    interface Listener {
+        /** It has ended. */
+        void ended(Result result);
+
+        /** The last byte of the request has left. */
+        default void written() { }
+    }
+
     /** A call on its way to a server. */
     interface Attempt {
         /** Stops waiting for it; its result is {@link Outcome#CANCELLED}, if there is none yet. */
@@ -38,8 +46,8 @@
     int size();
 
     /** Sends a call; a time-out of 0 microseconds is none. */
-    Attempt send(long server, Payload payload, long timeoutMicros, Consumer<Result> then);
+    Attempt send(long server, Payload payload, long timeoutMicros, Listener then);
 
     /** Asks a server for its health. */
-    void probe(long server, Consumer<Result> then);
+    void probe(long server, Listener then);
 }
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -145,7 +145,8 @@
             if (retryAfterMicros > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterMicros / 1e6));
             }
-            boolean last = !keepAlive || closing();
+            // What was asked in advance is answered before the connection ends.
+            boolean last = !keepAlive || closing() && connection.ahead.isEmpty() && !connection.decoder.begun();
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- /dev/null
+++ b/src/main/java/gatefront/management/Door.java
@@ -0,0 +1,103 @@
+package gatefront.management;
+
+import gatefront.membership.Bans;
+import gatefront.status.CallServer;
+import gatefront.status.CallServer.Reply;
+import gatefront.transport.Transport;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * The operators' door: {@code GET /healthcheck}, {@code GET /stats}, {@code POST /backends/ID/maint} and
+ * {@code POST /backends/ID/ready}. A call that is not one of these changes nothing.
+ */
+public final class Door {
+    private static final int CONNECTIONS_MOST = 24;
+    private static final long PATIENCE_MS = 5_000;
+    private static final String BACKENDS = "/backends/";
+
+    /** What the calls are about. */
+    public interface Agent {
+        /** Whether this process is ready to serve. */
+        boolean ready();
+
+        /** The figures, in their order. */
+        Map<String, Long> figures();
+
+        /** Takes a backend out, or puts it back; it holds when this returns. */
+        Bans.Answer hand(String backend, boolean out);
+    }
+
+    private final Agent agent;
+    private final CallServer server;
+
+    /** Listens to nobody yet. */
+    public Door(Transport transport, InetSocketAddress listen, Agent agent) {
+        this.agent = agent;
+        this.server = new CallServer(transport, listen, CONNECTIONS_MOST, PATIENCE_MS, this::call);
+    }
+
+    /** Begins to listen; the future tells whether it could. */
+    public ChannelFuture listen() {
+        return server.listen();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Ends. */
+    public void close() {
+        server.close();
+    }
+
+    private Reply call(FullHttpRequest request) {
+        String uri = request.uri();
+        int end = uri.indexOf('?');
+        String path = end < 0 ? uri : uri.substring(0, end);
+        if (path.equals("/healthcheck") || path.equals("/stats")) {
+            if (!request.method().equals(HttpMethod.GET)) {
+                return Reply.plain(405, "GET only\n");
+            }
+            if (path.equals("/stats")) {
+                return Reply.plain(200, text(agent.figures()));
+            }
+            return agent.ready() ? Reply.plain(200, "ready\n") : Reply.plain(503, "not ready\n");
+        }
+        int verb = path.lastIndexOf('/');
+        boolean out = path.endsWith("/maint");
+        if (!path.startsWith(BACKENDS) || verb <= BACKENDS.length() || !out && !path.endsWith("/ready")) {
+            return Reply.plain(404, "there are /healthcheck, /stats, /backends/ID/maint and /backends/ID/ready\n");
+        }
+        if (!request.method().equals(HttpMethod.POST)) {
+            return Reply.plain(405, "POST only\n");
+        }
+        String backend;
+        try {
+            backend = QueryStringDecoder.decodeComponent(path.substring(BACKENDS.length(), verb),
+                StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return Reply.plain(400, "an id that cannot be read\n");
+        }
+        if (backend.isEmpty() || backend.chars().anyMatch(c -> c < ' ')) {
+            return Reply.plain(400, "an id that cannot be read\n");
+        }
+        return switch (agent.hand(backend, out)) {
+            case YES -> Reply.plain(200, out ? "out\n" : "back\n");
+            case UNKNOWN -> Reply.plain(404, "nobody has this id\n");
+            case FULL -> Reply.plain(503, "too many are out by hand\n");
+        };
+    }
+
+    private static String text(Map<String, Long> figures) {
+        StringBuilder text = new StringBuilder();
+        figures.forEach((name, value) -> text.append(name).append('=').append(value).append('\n'));
+        return text.toString();
+    }
+}
--- a/src/main/java/gatefront/policy/Balancer.java
+++ b/src/main/java/gatefront/policy/Balancer.java
@@ -248,6 +248,14 @@
      */
     void message(long now, int agent, byte[] message);
 
+    /**
+     * How many listed servers that may take requests it avoids for their health. Changes nothing.
+     *
+     * @param now the time
+     * @return the count
+     */
+    int avoided(long now);
+
     /**
      * A timer has come due.
      *
--- a/src/main/java/gatefront/policy/CheckedBalancer.java
+++ b/src/main/java/gatefront/policy/CheckedBalancer.java
@@ -171,6 +171,11 @@
         event(now, () -> balancer.message(now, agent, message));
     }
 
+    @Override
+    public int avoided(long now) {
+        return balancer.avoided(now);
+    }
+
     @Override
     public void timer(long now, long token) {
         event(now, () -> balancer.timer(now, token));
--- a/src/main/java/gatefront/policy/FailureWindow.java
+++ b/src/main/java/gatefront/policy/FailureWindow.java
@@ -9,8 +9,8 @@
     private final int[] failures = new int[SLOTS];
     private final int[] totals = new int[SLOTS];
     private long slot;
-    private int failed;
-    private int total;
+    int failed;
+    int total;
 
     /** Counts one outcome. */
     void add(long now, long length, boolean failure) {
@@ -43,12 +43,4 @@
         failed = 0;
         total = 0;
     }
-
-    int failed() {
-        return failed;
-    }
-
-    int total() {
-        return total;
-    }
 }
--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -741,6 +741,12 @@
         return target.active != Health.UNHEALTHY && target.passive != Health.UNHEALTHY;
     }
 
+    @Override
+    public int avoided(long now) {
+        return (int) listed.stream().filter(each -> each.ready && (each.active == Health.UNHEALTHY
+            || each.passive == Health.UNHEALTHY && now < each.reactivateAt)).count();
+    }
+
     /** The same for a request, whose class may have been removed alone. */
     private boolean available(Open req, Target target, long now) {
         ByClass own = of(req, target);
@@ -756,8 +762,8 @@
     private void judge(Open req, Target target, boolean alone, long now) {
         ByClass own = of(req, target);
         FailureWindow window = alone ? own.window : target.window;
-        int total = window.total();
-        int failed = window.failed();
+        int total = window.total;
+        int failed = window.failed;
         if (total < WINDOW_MINIMUM || failed <= FAILURE_LIMIT * total) {
             return;
         }
@@ -767,8 +773,8 @@
             if (peer != target && peer.listed.zone() == target.listed.zone()) {
                 FailureWindow theirs = alone ? of(req, peer).window : peer.window;
                 theirs.slideTo(now, WINDOW);
-                peerTotal += theirs.total();
-                peerFailed += theirs.failed();
+                peerTotal += theirs.total;
+                peerFailed += theirs.failed;
             }
         }
         // Danger: when everything fails alike, removing servers pushes their load onto the rest; and a few
--- /dev/null
+++ b/src/main/java/gatefront/status/CallServer.java
@@ -0,0 +1,136 @@
+package gatefront.status;
+
+import gatefront.transport.Transport;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** HTTP/1.1 for staff: one call a connection, a bound on connections, a time for a call that does not end. */
+public final class CallServer {
+    private static final int BODY_MAX = 1 << 10;
+
+    /** An answer: its status, the type of its text, the text. */
+    public record Reply(int status, String type, String text) {
+        /** Plain text. */
+        public static Reply plain(int status, String text) {
+            return new Reply(status, "text/plain; charset=utf-8", text);
+        }
+    }
+
+    private final Transport transport;
+    private final InetSocketAddress listen;
+    private final int connectionsMost;
+    private final long patienceMs;
+    private final Function<FullHttpRequest, Reply> calls;
+    /** The oldest first. Each is removed when it closes: after its answer or its time, or for a newer one. */
+    private final Set<Channel> open = new LinkedHashSet<>();
+    private Channel server;
+
+    /**
+     * Listens to nobody yet.
+     *
+     * @param transport its loop and network
+     * @param listen where
+     * @param connectionsMost open at the most; the oldest then ends, for its caller has had the most time
+     * @param patienceMs a call not ended by then is cut off
+     * @param calls answers a call that could be read
+     */
+    public CallServer(Transport transport, InetSocketAddress listen, int connectionsMost, long patienceMs,
+                      Function<FullHttpRequest, Reply> calls) {
+        this.transport = transport;
+        this.listen = listen;
+        this.connectionsMost = connectionsMost;
+        this.patienceMs = patienceMs;
+        this.calls = calls;
+    }
+
+    /** Begins to listen; the future tells whether it could. */
+    public ChannelFuture listen() {
+        ChannelFuture bound = new ServerBootstrap().group(transport.loop()).channelFactory(transport.listeners())
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    accept(ch);
+                }
+            }).bind(listen);
+        server = bound.channel();
+        return bound;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** Ends. */
+    public void close() {
+        server.close();
+        List.copyOf(open).forEach(Channel::close);
+    }
+
+    private void accept(Channel ch) {
+        if (open.size() >= connectionsMost) {
+            open.iterator().next().close();
+        }
+        open.add(ch);
+        var cutOff = transport.loop().schedule(() -> ch.close(), patienceMs, TimeUnit.MILLISECONDS);
+        ch.closeFuture().addListener(closed -> {
+            open.remove(ch);
+            cutOff.cancel(false);
+        });
+        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MAX), new Answers());
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean answered;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (answered) {
+                return; // one call a connection
+            }
+            answered = true;
+            Throwable unread = request.decoderResult().cause();
+            Reply reply;
+            if (unread instanceof TooLongHttpHeaderException || unread instanceof TooLongHttpLineException) {
+                reply = Reply.plain(431, "too long\n");
+            } else if (unread != null) {
+                reply = Reply.plain(400, "not to be read\n");
+            } else {
+                reply = calls.apply(request);
+            }
+            byte[] body = reply.text().getBytes(StandardCharsets.UTF_8);
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+                .set(HttpHeaderNames.CONTENT_TYPE, reply.type()).set(HttpHeaderNames.CONNECTION, "close");
+            ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -7,10 +7,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 
 /** Real sockets and the system's clocks, on one event loop thread of its own. */
@@ -33,6 +36,19 @@
         return NioServerSocketChannel::new;
     }
 
+    @Override
+    public ChannelFactory<? extends ServerChannel> sharedListeners() {
+        return Shared::new;
+    }
+
+    @Override
+    public void closeShared(Channel listener) {
+        if (listener instanceof Shared shared && shared.isActive()) {
+            shared.takeAll();
+        }
+        listener.close();
+    }
+
     @Override
     public ChannelFactory<? extends Channel> dialers() {
         return Inspectable::new;
@@ -58,6 +74,24 @@
         group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> then.run());
     }
 
+    /** Listens on an address that another process may share. */
+    private static final class Shared extends NioServerSocketChannel {
+        Shared() {
+            config().setOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+
+        void takeAll() {
+            try {
+                for (SocketChannel each = javaChannel().accept(); each != null; each = javaChannel().accept()) {
+                    pipeline().fireChannelRead(new NioSocketChannel(this, each));
+                }
+                pipeline().fireChannelReadComplete();
+            } catch (IOException e) {
+                pipeline().fireExceptionCaught(e);
+            }
+        }
+    }
+
     /** A socket that can be asked whether its peer has been silent. */
     private static final class Inspectable extends NioSocketChannel {
         boolean silent() {
--- a/src/main/java/gatefront/transport/Transport.java
+++ b/src/main/java/gatefront/transport/Transport.java
@@ -24,6 +24,19 @@
     /** Makes what listens. */
     ChannelFactory<? extends ServerChannel> listeners();
 
+    /** Makes what listens on an address that another process of the same agent may share. */
+    default ChannelFactory<? extends ServerChannel> sharedListeners() {
+        return listeners();
+    }
+
+    /**
+     * Ends a channel of {@link #sharedListeners()}: what the system has taken on for it is accepted first, in the same
+     * turn of the loop. Guards against connections being reset that were made and not yet seen.
+     */
+    default void closeShared(Channel listener) {
+        listener.close();
+    }
+
     /** Makes what dials. */
     ChannelFactory<? extends Channel> dialers();
 
--- /dev/null
+++ b/src/test/java/gatefront/agent/OperationTest.java
@@ -0,0 +1,245 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.config.Config;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Daily operation over loopback sockets: the door, its figures, servers out by hand, one process after the other. */
+class OperationTest {
+    @TempDir
+    private Path shared;
+    private Stage stage;
+    private final List<Agent> agents = new ArrayList<>();
+
+    @BeforeEach
+    void set() throws IOException {
+        stage = new Stage();
+        stage.config.put("management", "127.0.0.1:0");
+    }
+
+    @AfterEach
+    void strike() throws IOException {
+        stage.close();
+        agents.forEach(each -> Peer.daemon(each::stop));
+    }
+
+    private void start() throws IOException {
+        stage.agent = Agent.start(Config.of(stage.config), shared);
+        agents.add(stage.agent);
+        Stage.await(() -> door("GET", "/healthcheck").status() == 200);
+    }
+
+    private Peer.Message door(String method, String path) {
+        return door(stage.agent, method, path);
+    }
+
+    private static Peer.Message door(Agent agent, String method, String path) {
+        return raw(agent, method + " " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    private static Peer.Message raw(Agent agent, String text) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), agent.management().getPort())) {
+            socket.setSoTimeout((int) Stage.GENEROUS_MS);
+            Peer.write(socket, text);
+            return Peer.read(socket.getInputStream());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private Map<String, Long> stats() {
+        Map<String, Long> figures = new HashMap<>();
+        door("GET", "/stats").text().lines().forEach(line -> figures.put(line.substring(0, line.indexOf('=')),
+            Long.valueOf(line.substring(line.indexOf('=') + 1))));
+        return figures;
+    }
+
+    private static Peer.Script answers(String text) {
+        return (message, socket) -> Peer.answer(socket, 200, "", text);
+    }
+
+    @Test
+    void whatIsNoCallOfTheDoorsIsTurnedAwayAndChangesNothing() throws Exception {
+        stage.server(answers("a"));
+        start();
+        assertEquals(404, door("GET", "/").status());
+        assertEquals(404, door("POST", "/backends/s-1/away").status());
+        assertEquals(404, door("POST", "/backends/maint").status());
+        assertEquals(404, door("POST", "/backends/nobody/maint").status());
+        assertEquals(405, door("GET", "/backends/s-1/maint").status());
+        assertEquals(405, door("POST", "/stats").status());
+        assertEquals(400, raw(stage.agent, "nonsense\r\n\r\n").status());
+        assertEquals(400, door("POST", "/backends/%zz/maint").status());
+        assertEquals(431, raw(stage.agent, "GET /" + "a".repeat(9000) + " HTTP/1.1\r\n\r\n").status());
+        assertEquals(0, stats().get("pool_ejected"));
+        assertEquals("a", stage.call("lookup").text());
+    }
+
+    /** Callers that say nothing, more than there is room for, never keep out one that has a call to make. */
+    @Test
+    void silentCallersKeepNobodyOut() throws Exception {
+        start();
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            Socket each = new Socket(InetAddress.getLoopbackAddress(), stage.agent.management().getPort());
+            Peer.write(each, "GET /st");
+            silent.add(each);
+        }
+        long begin = System.nanoTime();
+        assertEquals(200, door("GET", "/healthcheck").status());
+        assertTrue(System.nanoTime() - begin < 1_000_000_000L);
+        Socket inTime = silent.get(99);
+        Peer.write(inTime, "ats HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertEquals(200, Peer.read(inTime.getInputStream()).status());
+        for (Socket each : silent) {
+            each.close();
+        }
+    }
+
+    @Test
+    void theFiguresAreWhatThePeersSaw() throws Exception {
+        stage.server((message, socket) -> {
+            String path = message.target();
+            if (path.startsWith("/order")) {
+                Peer.answer(socket, 500, "", "");
+            } else {
+                Peer.answer(socket, 200, "", "a");
+            }
+        });
+        start();
+        int tried = stage.arrived();
+        for (int i = 0; i < 7; i++) {
+            assertEquals(200, stage.call("lookup").status());
+        }
+        assertEquals(502, stage.call("order").status());
+        Map<String, Long> figures = stats();
+        assertEquals(7, figures.get("ok.lookup"));
+        assertEquals(0, figures.get("shed.lookup"));
+        assertEquals(1, figures.get("errors.order"));
+        assertEquals(0, figures.get("ok.pay"));
+        assertEquals(0, figures.get("active"));
+        assertEquals(1, figures.get("pool_size"));
+        assertEquals(stage.servers.get(0).requests.stream().filter(each -> !each.target().equals("/healthz")).count()
+            - tried, figures.get("tries"));
+    }
+
+    @Test
+    void aServerOutByHandGetsNothingUntilItIsPutBack() throws Exception {
+        Peer first = stage.server(answers("a"));
+        Peer second = stage.server(answers("b"));
+        start();
+        assertEquals(200, door("POST", "/backends/s-1/maint").status());
+        assertEquals(200, door("POST", "/backends/s-1/maint").status());
+        long before = calls(first);
+        stage.news.add(Stage.delta(1, Stage.endpoint(1, first.address(), "Ready")));
+        for (int i = 0; i < 10; i++) {
+            assertEquals("b", stage.call("lookup").text());
+        }
+        assertEquals(before, calls(first));
+        assertEquals(1, stats().get("pool_ejected"));
+        assertEquals(200, door("POST", "/backends/s-1/ready").status());
+        Stage.await(() -> stats().get("pool_ejected") == 0);
+        assertEquals(200, door("POST", "/backends/s-2/maint").status());
+        Stage.await(() -> {
+            try {
+                return "a".equals(stage.call("lookup").text());
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        assertTrue(calls(second) > 0);
+    }
+
+    private static long calls(Peer server) {
+        return server.requests.stream().filter(each -> each.target().startsWith("/lookup")).count();
+    }
+
+    /** A port that both processes are told, with something else on neither. */
+    private static int freePort() throws IOException {
+        try (ServerSocket some = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return some.getLocalPort();
+        }
+    }
+
+    @Test
+    void aSecondProcessTakesOverWithItsBansAndEveryRequestIsAnswered() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer.Script holds = (message, socket) -> {
+            if (message.target().startsWith("/order")) {
+                go.await();
+            }
+            Peer.answer(socket, 200, "", "a");
+        };
+        stage.server(holds);
+        stage.server(answers("b"));
+        stage.server(holds);
+        stage.config.put("listen", "127.0.0.1:" + freePort());
+        start();
+        Agent old = stage.agent;
+        assertEquals(200, door("POST", "/backends/s-2/maint").status());
+        Socket held = stage.dial();
+        Peer.write(held, stage.request("order", 8000, "body"));
+        Stage.await(() -> stage.servers.stream().anyMatch(each -> each.requests.stream()
+            .anyMatch(m -> m.target().startsWith("/order"))));
+        Socket kept = stage.dial();
+        assertEquals("a", Stage.exchange(kept, stage.request("lookup", 8000, "")).text());
+        start();
+        assertEquals(1, stats().get("pool_ejected"), "the ban holds in the new process");
+        // A ban at either door binds both.
+        door(old, "POST", "/backends/s-3/maint");
+        Stage.await(() -> stats().get("pool_ejected") == 2);
+        door("POST", "/backends/s-3/ready");
+        Stage.await(() -> door(old, "GET", "/stats").text().contains("pool_ejected=1\n"));
+        Peer.daemon(old::stop);
+        Stage.await(() -> door(old, "GET", "/healthcheck").status() == 503);
+        Peer.Message last = Stage.exchange(kept, stage.request("lookup", 8000, ""));
+        assertEquals("a", last.text());
+        assertEquals("close", last.header("Connection"), "a kept connection ends with its next answer");
+        for (int i = 0; i < 20; i++) {
+            assertEquals("a", stage.call("lookup").text());
+        }
+        go.countDown();
+        assertEquals("a", Peer.read(held.getInputStream()).text());
+        old.awaitEnd();
+        assertEquals("a", stage.call("lookup").text());
+        assertEquals(1, stats().get("pool_ejected"), "and after the old process has ended");
+    }
+
+    /** The new process that fails before its yes leaves the old one as it was. */
+    @Test
+    void theOldProcessServesOnWhenTheNewOneCannotStart() throws Exception {
+        stage.server(answers("a"));
+        stage.config.put("listen", "127.0.0.1:" + freePort());
+        start();
+        int taken = stage.agent.management().getPort();
+        stage.config.put("management", "127.0.0.1:" + taken);
+        try {
+            Agent.start(Config.of(stage.config), shared);
+            throw new AssertionError("two doors at one address");
+        } catch (IOException e) {
+            assertTrue(e.getMessage().startsWith("cannot listen on"), e.getMessage());
+        }
+        assertEquals("a", stage.call("lookup").text());
+        assertFalse(stage.agent.ready() && door("GET", "/healthcheck").status() != 200);
+        InetSocketAddress at = stage.agent.address();
+        assertEquals(at.getPort(), Integer.parseInt(stage.config.get("listen").asText().split(":")[1]));
+    }
+}
--- a/src/test/java/gatefront/cli/MainTest.java
+++ b/src/test/java/gatefront/cli/MainTest.java
@@ -23,8 +23,8 @@
 
     @Test
     void serveWithoutAUsableConfigurationSaysWhyInOneLine() {
-        assertEquals(1, Main.serve(null, null, new PrintStream(err)));
-        assertEquals(1, Main.serve("no/such/file", null, new PrintStream(err)));
+        assertEquals(1, Main.serve(null, null, null, null, new PrintStream(err)));
+        assertEquals(1, Main.serve("no/such/file", null, null, null, new PrintStream(err)));
         assertEquals("gatefront: RELAY_CONFIG is not set" + System.lineSeparator()
             + "gatefront: cannot read no/such/file: no/such/file", err.toString().strip());
     }
--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -64,6 +64,11 @@
         @Override
         public void message(long now, int from, byte[] message) { }
 
+        @Override
+        public int avoided(long now) {
+            return right.avoided(now);
+        }
+
         @Override
         public void timer(long now, long token) {
             right.timer(now, token);
--- /dev/null
+++ b/src/test/java/gatefront/upgrade/NeighbourTest.java
@@ -0,0 +1,79 @@
+package gatefront.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.membership.Bans;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of one agent in a folder, by files that may be torn, old or of others. */
+class NeighbourTest {
+    private static final Map<String, Bans.Entry> SOME = Map.of("s 1", new Bans.Entry(true, 7), "s-2",
+        new Bans.Entry(false, 9));
+    @TempDir
+    private Path folder;
+    private final List<String> log = new ArrayList<>();
+
+    private Neighbour enter(String name) throws IOException {
+        return new Neighbour(folder, name, log::add);
+    }
+
+    @Test
+    void theSecondFollowsUntilTheFirstHasEndedAndTheFirstKnowsOfIt() throws IOException {
+        Neighbour first = enter("1");
+        assertFalse(first.follows());
+        assertFalse(first.followed());
+        Neighbour second = enter("2");
+        assertTrue(second.follows());
+        assertTrue(first.followed());
+        first.tell(SOME);
+        assertEquals(SOME, second.look());
+        assertEquals(Map.of(), second.look(), "what has not changed is not read again");
+        first.close();
+        second.look();
+        assertFalse(second.follows());
+        assertFalse(second.followed());
+        second.tell(SOME);
+        second.tidy();
+        Neighbour third = enter("3");
+        assertTrue(second.followed());
+        assertEquals(SOME, third.look());
+        second.close();
+        third.close();
+    }
+
+    @Test
+    void oneThatFailsBeforeItServesIsForgotten() throws IOException {
+        Neighbour first = enter("1");
+        enter("2").close();
+        assertFalse(first.followed());
+        first.close();
+    }
+
+    @Test
+    void whatIsTornOldOrForeignIsToldAndNotBelieved() throws IOException {
+        String whole = BansText.write(SOME);
+        assertEquals(SOME, BansText.read(whole));
+        for (int cut = 0; cut < whole.length(); cut++) {
+            String part = whole.substring(0, cut);
+            assertThrows(IllegalArgumentException.class, () -> BansText.read(part), part);
+        }
+        Neighbour first = enter("1");
+        int lines = 0;
+        for (String text : List.of("", "lemonspan-bans 2\n", whole.replace("out", "in"), whole.substring(1), "\0")) {
+            Files.writeString(folder.resolve("gatefront-bans-x" + lines++), text);
+            assertEquals(Map.of(), first.look());
+            assertEquals(lines, log.size());
+        }
+        first.close();
+    }
+}
