What was asked in advance is answered before its connection ends under pressure

Cause: MemoryTest found that a refusal answered at once left the connection open, since the decoder still said that a request was coming; only what has come whole counts now.

--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -146,7 +146,7 @@
                 headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterMicros / 1e6));
             }
             // What was asked in advance is answered before the connection ends.
-            boolean last = !keepAlive || closing() && connection.ahead.isEmpty() && !connection.decoder.begun();
+            boolean last = !keepAlive || closing() && connection.ahead.isEmpty();
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
