Large bodies pass in pieces with backpressure; bans are read by content, not by file time

Ruled out: the overlay (the same server listed anew stays draining in every log), the module. Fault: Neighbour.look compared file times.

--- a/src/main/java/gatefront/connection/AcceptingFront.java
+++ b/src/main/java/gatefront/connection/AcceptingFront.java
@@ -7,6 +7,7 @@
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -14,6 +15,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
@@ -34,11 +36,14 @@
         /** Half a request sent. */ BEGUN,
         /** Kept after an answer. */ KEPT,
         /** Owed an answer. */ OWED,
+        /** Its answer is passed on in pieces; since it last took some. */ PASSING,
         /** Its last answer is being written. */ FINISHING,
         /** Its last answer is being read. */ ENDING }
 
-    /** How long a connection may say nothing, or take over sending one request. */
+    /** How long a connection may say nothing. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** How long it may take over a head, and then from one piece of a body to the next. */
+    private static final long BEGUN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** How long one that has had an answer is kept while there is room, and while there is little. */
     private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long KEPT_LEAST_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -46,11 +51,15 @@
     private static final long SILENT_LEAST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** How long one that ends may take until its last answer is written, and then over reading it. */
     private static final long FINISH_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** How long one may read nothing of an answer that is passed on in pieces. */
+    private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final int LINGER_MOST = 16;
     /** From this part of the room on those kept are closed sooner, and each answer is a connection's last. */
     private static final double PRESSED = 0.6;
     private static final long SWEEP_MS = 100;
+    /** Read at once at the most: pieces that wait keep the whole of what they were read with. */
+    private static final int READ_MOST = 16 << 10;
     private final Transport transport;
     private final InetSocketAddress listen;
     private final int connectionsMost;
@@ -92,6 +101,8 @@
         bootstrap = new ServerBootstrap().group(transport.loop()).channelFactory(transport.sharedListeners())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(READ_MOST, 2 * READ_MOST))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
@@ -196,12 +207,14 @@
     private void sweep() {
         expired(State.SILENT, PATIENCE_NANOS).forEach(Connection::close);
         expired(State.KEPT, pressed() ? KEPT_LEAST_NANOS : KEPT_NANOS).forEach(Connection::close);
-        for (Connection each : expired(State.BEGUN, PATIENCE_NANOS)) {
+        for (Connection each : expired(State.BEGUN, BEGUN_NANOS)) {
             each.tooSlow();
             if (each.state == State.BEGUN) {
                 each.channel.close(); // it does not read either
             }
         }
+        expired(State.PASSING, STALLED_NANOS).stream().filter(each -> !each.channel.isWritable())
+            .forEach(each -> each.channel.close());
         expired(State.FINISHING, FINISH_NANOS).forEach(each -> each.channel.close());
         expired(State.ENDING, LINGER_NANOS).forEach(each -> each.channel.close());
         makeRoom();
@@ -292,8 +305,8 @@
             callers.give(0);
             move(null);
             deaf = true;
-            release(held);
             ended();
+            release(held);
             makeRoom();
         }
 
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -3,6 +3,7 @@
 import gatefront.budget.Account;
 import gatefront.budget.Budget;
 import gatefront.budget.Purpose;
+import gatefront.engine.Flow;
 import gatefront.engine.Payload;
 import gatefront.engine.Upstream;
 import gatefront.membership.Endpoint;
@@ -10,6 +11,9 @@
 import gatefront.policy.Balancer.Outcome;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -17,6 +21,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -47,6 +52,10 @@
      */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
+    /** An answer that is being passed on and of which nothing comes for so long is over. */
+    private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(4);
+    /** Read at once at the most: pieces that wait keep the whole of what they were read with. */
+    private static final int READ_MOST = 16 << 10;
 
     private final Transport transport;
     private final EventLoop loop;
@@ -101,6 +110,8 @@
         this.bootstrap = new Bootstrap().group(loop).channelFactory(transport.dialers())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutMicros / 1000))
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(READ_MOST, 2 * READ_MOST))
             .disableResolver(); // addresses are literal; the usual resolvers would keep the loop for ever
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
     }
@@ -119,6 +130,16 @@
      */
     protected abstract Object message(Payload request, int number, long millisLeft);
 
+    /** A piece of a request's body, as it is written; for protocols that have such. */
+    protected Object part(ByteBuf piece) {
+        return piece;
+    }
+
+    /** What is written behind the last piece. */
+    protected Object lastPart() {
+        return Unpooled.EMPTY_BUFFER;
+    }
+
     /** The request that asks for a server's health. */
     protected abstract Payload probe();
 
@@ -255,6 +276,9 @@
         private Channel dialled;
         private boolean written;
         private boolean ended;
+        /** Its answer, where that is passed on in pieces; and when the server last gave some. */
+        private Flow flow;
+        private long progressAt;
 
         private Attempt(Payload request, long timeoutMicros, Listener then) {
             this.request = request;
@@ -314,19 +338,87 @@
             });
         }
 
+        /** Its answer has begun and is passed on in pieces: from now on it may take as long as the server gives. */
+        public void begun(Payload answer, Flow pieces) {
+            flow = pieces;
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            progress();
+            watch();
+            then.begun(answer);
+        }
+
+        /** The server has given something. */
+        public void progress() {
+            progressAt = transport.nanos();
+        }
+
+        /** Guards against an answer that stops in the middle, held open for ever. */
+        private void watch() {
+            loop.schedule(() -> {
+                if (!ended) {
+                    if (flow.isOpen() && !flow.isStopped() && transport.nanos() - progressAt > STALLED_NANOS) {
+                        end(Outcome.TIMEOUT);
+                    } else {
+                        watch();
+                    }
+                }
+            }, STALLED_NANOS / 4, TimeUnit.NANOSECONDS);
+        }
+
+        /** Writes the head at once and the body as it comes. */
+        private void pass(Flow upload) {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            Channel to = connection.channel;
+            connection.upload = upload;
+            to.writeAndFlush(message(request, number, 0)); // the caller's time counts from the last byte
+            then.spent();
+            upload.to(new Flow.Taker() {
+                @Override
+                public boolean piece(ByteBuf piece) {
+                    if (ended) {
+                        piece.release();
+                        return false;
+                    }
+                    to.writeAndFlush(part(piece));
+                    return to.isWritable();
+                }
+
+                @Override
+                public void ended() {
+                    to.writeAndFlush(lastPart()).addListener(done -> written(done.isSuccess()));
+                }
+
+                @Override
+                public void broken() {
+                    end(Outcome.CANCELLED);
+                }
+            });
+        }
+
+        private void written(boolean whole) {
+            if (whole) {
+                written = true;
+                left(this);
+                then.written();
+            } else {
+                end(Outcome.CONNECT_FAILED); // the last byte never left, so it cannot have begun
+            }
+        }
+
         private void write(Connection to) {
             connection = to;
             to.attempt = this;
+            if (request.flow() != null) {
+                pass(request.flow());
+                return;
+            }
             long millisLeft = limited ? Math.max(1, (endAt - transport.nanos()) / 1_000_000) : 0;
-            to.channel.writeAndFlush(message(request, number, millisLeft)).addListener(done -> {
-                if (done.isSuccess()) {
-                    written = true;
-                    left(this);
-                    then.written();
-                } else {
-                    end(Outcome.CONNECT_FAILED); // the last byte never left, so it cannot have begun
-                }
-            });
+            to.channel.writeAndFlush(message(request, number, millisLeft)).addListener(done ->
+                written(done.isSuccess()));
         }
 
         /** The connection has ended under the attempt. Before its last byte was written it did not run. */
@@ -354,6 +446,9 @@
                 return;
             }
             ended = true;
+            if (flow != null && flow.isOpen()) {
+                flow.breakOff();
+            }
             if (timer != null) {
                 timer.cancel(false);
             }
@@ -362,6 +457,7 @@
             }
             if (connection != null) {
                 connection.attempt = null;
+                connection.upload = null;
                 if (reusable && written && !pool.retired) {
                     connection.idleSince = transport.nanos();
                     pool.idle.addFirst(connection);
@@ -380,6 +476,8 @@
         private final Pool pool;
         private Channel channel;
         private Attempt attempt;
+        /** The request that is leaving in pieces, or null. */
+        private Flow upload;
         private long idleSince;
 
         private Connection(Pool pool) {
@@ -403,6 +501,8 @@
         private final Connection connection;
         /** Bytes of an answer that has come in part. */
         private int part;
+        /** Whether the connection was reset: its end is not that of an answer. */
+        protected boolean broke;
 
         /** Of this connection. */
         protected Reader(Connection connection) {
@@ -441,6 +541,27 @@
             part = 0;
         }
 
+        /** Reads on, or leaves what comes to the system until there is room. */
+        protected final void reading(boolean on) {
+            connection.channel.config().setAutoRead(on);
+        }
+
+        /** Does something after a time, if the attempt has not ended by then. */
+        protected final void later(Attempt attempt, long millis, Runnable what) {
+            loop.schedule(() -> {
+                if (!attempt.ended) {
+                    what.run();
+                }
+            }, millis, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public final void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (connection.upload != null && ctx.channel().isWritable()) {
+                connection.upload.resume();
+            }
+        }
+
         @Override
         public final void channelInactive(ChannelHandlerContext ctx) {
             release();
@@ -452,6 +573,7 @@
 
         @Override
         public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            broke = true;
             ctx.close(); // reset; what that means for the attempt is told by channelInactive
         }
     }
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -80,6 +80,8 @@
         final List<Upstream.Attempt> attempts = new ArrayList<>(1);
         int out;
         boolean answered;
+        /** Whether an answer is on its way to the caller in pieces. */
+        boolean passing;
         Future<?> guard;
 
         Pending(long id, Call call, Exchange exchange, Upstream upstream) {
@@ -286,15 +288,19 @@
         open.put(id, pending);
         byExchange.put(exchange, pending);
         byName.put(call.id(), pending);
-        long left = Math.max(0, 1000 * call.timeoutMs() - MARGIN_MICROS);
-        pending.guard = loop.schedule(() -> giveUp(pending, Exchange.Failure.TIME_UP), left,
-            TimeUnit.MICROSECONDS);
-        long deadline = now() + left;
+        long deadline = now() + guard(pending);
         Balancer.Request request = new Balancer.Request(id, call.requestClass(), call.tenant(), call.key(),
             call.hint(), deadline, call.repeated(), false);
         event(pending, () -> balancer.request(now(), request));
     }
 
+    /** Gives a call up when its caller's time from now on has passed; returns that time. */
+    private long guard(Pending pending) {
+        long left = Math.max(0, 1000 * pending.call.timeoutMs() - MARGIN_MICROS);
+        pending.guard = loop.schedule(() -> giveUp(pending, Exchange.Failure.TIME_UP), left, TimeUnit.MICROSECONDS);
+        return left;
+    }
+
     /** Whether a class's limit lets one more in; where it does not, staff hear of it now and then. */
     private boolean room(int of) {
         boolean room = limits.room(of);
@@ -321,11 +327,19 @@
         pending.attempts.forEach(Upstream.Attempt::cancel);
     }
 
-    private void outcome(Pending pending, int attempt, long server, long sentAt, Upstream.Result result) {
+    private void outcome(Pending pending, int attempt, long server, long spent, Upstream.Result result) {
         pending.out--;
         // Guards against asking every server what one has found to be no good, and against blaming it.
         boolean bad = result.rejected() != null;
-        if (!pending.answered && bad) {
+        if (!pending.answered && pending.passing) {
+            // The front has had the whole of it, or knows that it breaks off.
+            if (result.outcome() == Balancer.Outcome.OK) {
+                tally.served(pending.call.requestClass());
+            } else {
+                tally.failed(pending.call.requestClass());
+            }
+            answered(pending);
+        } else if (!pending.answered && bad) {
             pending.exchange.rejected(result.rejected());
             tally.failed(pending.call.requestClass());
             answered(pending);
@@ -337,12 +351,16 @@
         Balancer.Outcome outcome = bad ? Balancer.Outcome.CANCELLED : result.outcome();
         forget(pending);
         event(pending, () -> balancer.outcome(now(), pending.id, attempt, server, outcome,
-            now() - sentAt, pending.answered, result.load()));
+            spent, pending.answered, result.load()));
     }
 
     private void answered(Pending pending) {
         pending.answered = true;
         tally.ended();
+        Flow upload = pending.call.payload().flow();
+        if (upload != null && upload.isOpen()) {
+            upload.cancel(); // nobody will read the rest
+        }
         pending.guard.cancel(false);
         byExchange.remove(pending.exchange);
         forget(pending);
@@ -370,14 +388,45 @@
         long sentAt = now();
         pending.out++;
         pending.attempts.add(pending.upstream.send(server, pending.call.payload(), timeout, new Upstream.Listener() {
+            /** Since when the server has had it, and how long it took to answer; negative while it has not. */
+            private long since = sentAt;
+            private long took = -1;
+
             @Override
             public void ended(Upstream.Result result) {
-                outcome(pending, attempt, server, sentAt, result);
+                outcome(pending, attempt, server, took < 0 ? now() - since : took, result);
             }
 
             @Override
             public void written() {
                 tally.tried();
+                if (pending.call.payload().flow() != null && !pending.answered) {
+                    guard(pending); // a caller's time counts from its last byte, and so does the server's
+                    since = now();
+                }
+            }
+
+            @Override
+            public void spent() {
+                pending.guard.cancel(false);
+                begins();
+            }
+
+            @Override
+            public void begun(Payload answer) {
+                if (pending.answered || pending.passing) {
+                    pending.attempts.get(attempt).cancel();
+                    return;
+                }
+                pending.passing = true;
+                took = now() - since;
+                pending.guard.cancel(false);
+                begins();
+                pending.exchange.served(answer);
+            }
+
+            private void begins() {
+                event(pending, () -> balancer.streamStarted(now(), pending.id, attempt, server, now() - sentAt));
             }
         }));
     }
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -25,6 +25,12 @@
 
         /** The last byte of the request has left. */
         default void written() { }
+
+        /** A request that comes in pieces begins to leave: it cannot be sent again. */
+        default void spent() { }
+
+        /** An answer that comes in pieces has begun; its result is told when it has ended. */
+        default void begun(Payload answer) { }
     }
 
     /** A call on its way to a server. */
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -5,6 +5,7 @@
 import gatefront.connection.AcceptingFront;
 import gatefront.engine.Call;
 import gatefront.engine.Engine;
+import gatefront.engine.Flow;
 import gatefront.engine.Payload;
 import gatefront.http.HttpUpstream.Outgoing;
 import gatefront.http.HttpUpstream.Served;
@@ -18,6 +19,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -36,6 +39,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -65,6 +69,8 @@
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
+    /** A large body of which nothing comes for so long ends with its connection. */
+    private static final long UPLOAD_STALLED_MS = 2_500;
 
     private final Transport transport;
     private final Config config;
@@ -93,6 +99,8 @@
         private final boolean keepAlive;
         private final int bytes;
         private boolean answered;
+        /** The answer that is being passed on in pieces, or null. */
+        private Flow passing;
 
         private Exchange(Caller connection, boolean keepAlive, int bytes) {
             this.connection = connection;
@@ -130,29 +138,82 @@
                 return;
             }
             answered = true;
+            if (served != null && served.flow() != null) {
+                pass(served);
+                return;
+            }
             ByteBuf body = served == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(served.body());
             // What is set here was checked when it came.
             HttpHeaders headers = HttpUpstream.UNCHECKED.newHeaders();
             var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers,
                 EmptyHttpHeaders.INSTANCE);
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            if (served != null && served.contentType() != null) {
-                headers.set(HttpHeaderNames.CONTENT_TYPE, served.contentType());
-            }
-            if (served != null && served.contentEncoding() != null) {
-                headers.set(HttpHeaderNames.CONTENT_ENCODING, served.contentEncoding());
+            if (served != null) {
+                describe(served, headers);
             }
             if (retryAfterMicros > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterMicros / 1e6));
             }
             // What was asked in advance is answered before the connection ends.
-            boolean last = !keepAlive || closing() && !connection.asksMore();
+            boolean last = last();
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             connection.answered(this, connection.write(response, body.readableBytes()), last);
         }
 
+        private boolean last() {
+            return !keepAlive || connection.uploading() || closing() && !connection.asksMore();
+        }
+
+        private void describe(Served served, HttpHeaders headers) {
+            if (served.contentType() != null) {
+                headers.set(HttpHeaderNames.CONTENT_TYPE, served.contentType());
+            }
+            if (served.contentEncoding() != null) {
+                headers.set(HttpHeaderNames.CONTENT_ENCODING, served.contentEncoding());
+            }
+        }
+
+        /** Passes an answer on in pieces; one that breaks off ends the connection, so that the caller can tell. */
+        private void pass(Served served) {
+            HttpHeaders headers = HttpUpstream.UNCHECKED.newHeaders();
+            if (served.length() < 0) {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, served.length());
+            }
+            describe(served, headers);
+            boolean last = last();
+            if (last) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            passing = served.flow();
+            connection.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers), 0);
+            connection.passes();
+            passing.to(new Flow.Taker() {
+                @Override
+                public boolean piece(ByteBuf piece) {
+                    connection.write(new DefaultHttpContent(piece), piece.readableBytes());
+                    return connection.takes();
+                }
+
+                @Override
+                public void ended() {
+                    passing = null;
+                    // Not before the caller has taken it: the time that a last answer has does not begin until then.
+                    connection.write(LastHttpContent.EMPTY_LAST_CONTENT, 0).addListener(done ->
+                        connection.answered(Exchange.this, (ChannelFuture) done, last));
+                }
+
+                @Override
+                public void broken() {
+                    passing = null;
+                    connection.cut();
+                }
+            });
+        }
+
         /** The same without a body. */
         private void answer(HttpResponseStatus status) {
             answer(status, null, 0);
@@ -169,6 +230,11 @@
         private Call incoming;
         private boolean keepAlive;
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        /** The rest of a body that is too long to be held, on its way to a server; null while there is none. */
+        private Flow upload;
+        private long uploaded;
+        /** How the body that is coming in ends. */
+        private long length;
 
         Caller(DuplexChannel channel, Decoders.Requests decoder) {
             super(channel);
@@ -192,9 +258,33 @@
             current = null;
             if (left != null) {
                 listener.callerLeft(left);
+                if (left.passing != null) {
+                    left.passing.cancel();
+                }
+            }
+            if (upload != null) {
+                upload.breakOff();
+                upload = null;
             }
         }
 
+        private boolean takes() {
+            return channel.isWritable();
+        }
+
+        /** Whether the body of a request is on its way and not whole: what follows it on the connection is unknown. */
+        private boolean uploading() {
+            return upload != null;
+        }
+
+        private void passes() {
+            move(State.PASSING);
+        }
+
+        private void cut() {
+            channel.close();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Object read) {
             if (deaf) {
@@ -211,7 +301,11 @@
             if (part instanceof HttpContent content && !deaf) {
                 add(content.content());
             }
-            if (part instanceof LastHttpContent && !deaf) {
+            if (part instanceof LastHttpContent && !deaf && upload != null) {
+                Flow whole = upload;
+                upload = null;
+                whole.end();
+            } else if (part instanceof LastHttpContent && !deaf) {
                 Call whole = incoming == null || !body.isReadable() ? incoming
                     : with(incoming, ByteBufUtil.getBytes(body));
                 body = Unpooled.EMPTY_BUFFER;
@@ -228,13 +322,17 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (current != null && current.passing != null && channel.isWritable()) {
+                move(State.PASSING); // it has taken something
+                current.passing.resume();
+            }
             next();
         }
 
         private void begin(HttpRequest head) {
             keepAlive = HttpUtil.isKeepAlive(head);
             incoming = null;
-            long length = Decoders.framing(head.headers());
+            length = Decoders.framing(head.headers());
             HttpResponseStatus error = badFraming(head, length);
             if (error == null && !health(head)) {
                 incoming = parse(head);
@@ -255,8 +353,25 @@
 
         private void add(ByteBuf bytes) {
             int n = bytes.readableBytes();
-            if (body.readableBytes() + n > HttpUpstream.BODY_MAX) {
-                wrong(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            if (state() == State.BEGUN && n > 0) {
+                move(State.BEGUN); // a body may come slowly, as long as it comes
+            }
+            if (upload == null && body.readableBytes() + n > HttpUpstream.BODY_MAX) {
+                if (incoming == null) {
+                    wrong(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                    return;
+                }
+                beginUpload();
+            }
+            if (upload != null) {
+                uploaded += n;
+                if (uploaded > HttpUpstream.LARGE_MAX) {
+                    endUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                } else if (!hold(n)) {
+                    endUpload(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                } else if (!upload.give(bytes.retain())) {
+                    channel.config().setAutoRead(!upload.isStopped());
+                }
             } else if (!hold(n)) {
                 wrong(HttpResponseStatus.SERVICE_UNAVAILABLE);
             } else if (n > 0) {
@@ -264,6 +379,67 @@
             }
         }
 
+        /** What has come of a body begins its way to a server, and the rest follows as it comes. */
+        private void beginUpload() {
+            Flow pieces = new Flow(new Flow.Giver() {
+                @Override
+                public void passed(int bytes) {
+                    release(bytes);
+                }
+
+                @Override
+                public void more() {
+                    if (!deaf) {
+                        channel.config().setAutoRead(true);
+                    }
+                }
+
+                @Override
+                public void unwanted() {
+                    // Answered before it was whole: nothing more is read as a request, and the connection ends.
+                    deaf = true;
+                    upload = null;
+                    channel.config().setAutoRead(true);
+                }
+            });
+            ByteBuf come = body;
+            body = Unpooled.EMPTY_BUFFER;
+            upload = pieces;
+            uploaded = come.readableBytes();
+            pieces.give(come);
+            watch(pieces, uploaded);
+            ask(new Asked(with(incoming, pieces, length), null, keepAlive));
+        }
+
+        /** No more is taken of a body that is on its way: nobody gets it whole, and the caller is told why. */
+        private void endUpload(HttpResponseStatus why) {
+            Flow pieces = upload;
+            Exchange asked = current;
+            if (asked == null || ahead.stream().anyMatch(each -> each.request != null)) {
+                channel.close(); // one that waits for the answers before it: they are not to be overtaken
+                return;
+            }
+            asked.answer(why, null, why.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? Engine.RETRY_AFTER_MICROS : 0);
+            listener.callerLeft(asked);
+            upload = null;
+            pieces.breakOff();
+            channel.config().setAutoRead(true); // what still comes is read and dropped until the answer has been read
+        }
+
+        /** Guards against a body of which nothing more comes, held open for ever. */
+        private void watch(Flow pieces, long before) {
+            transport.loop().schedule(() -> {
+                if (upload != pieces) {
+                    return;
+                }
+                if (uploaded == before && !pieces.isStopped()) {
+                    channel.close();
+                } else {
+                    watch(pieces, uploaded);
+                }
+            }, UPLOAD_STALLED_MS, TimeUnit.MILLISECONDS);
+        }
+
         /**
          * What came is no request. Guards against answering it out of turn, where the client would take the
          * error for the answer to what it asked before, and against reading on what nobody will use.
@@ -288,7 +464,7 @@
         /** What was asked is taken in its turn, and not while answers are still to be read. */
         private void next() {
             if (!deaf) {
-                channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+                channel.config().setAutoRead(ahead.size() < AHEAD_MOST && (upload == null || !upload.isStopped()));
             }
             if (current == null && !ahead.isEmpty() && channel.isWritable()) {
                 take(ahead.poll());
@@ -323,7 +499,7 @@
             current = null;
             release(exchange.bytes);
             if (last) {
-                boolean unread = deaf && decoder.begun();
+                boolean unread = (deaf || upload != null) && decoder.begun();
                 ahead.clear();
                 finish(written, unread);
             } else {
@@ -341,6 +517,13 @@
             call.repeated(), new Outgoing(without.method(), without.uri(), without.headers(), body));
     }
 
+    private static Call with(Call call, Flow body, long length) {
+        Outgoing without = (Outgoing) call.payload();
+        return new Call(call.id(), call.requestClass(), call.tenant(), call.key(), call.hint(), call.timeoutMs(),
+            call.repeated(), new Outgoing(without.method(), without.uri(), without.headers(), HttpUpstream.NO_BODY,
+                body, Math.max(-1, length)));
+    }
+
     private static byte[] body(Call call) {
         return ((Outgoing) call.payload()).body();
     }
@@ -358,7 +541,7 @@
         if (length == Decoders.UNCLEAR) {
             return HttpResponseStatus.BAD_REQUEST;
         }
-        if (length > HttpUpstream.BODY_MAX) {
+        if (length > HttpUpstream.LARGE_MAX) {
             return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
         }
         String expected = head.headers().get(HttpHeaderNames.EXPECT);
--- a/src/main/java/gatefront/http/codec/Decoders.java
+++ b/src/main/java/gatefront/http/codec/Decoders.java
@@ -109,6 +109,8 @@
     /** What servers and discovery send. */
     public static final class Responses extends HttpResponseDecoder {
         private boolean atStart = true;
+        private boolean headRead;
+        private boolean mayEndWithConnection;
 
         /** Strict on both heads and bodies. */
         public Responses() {
@@ -140,6 +142,8 @@
                     || digits(line[1], 0) < 100) {
                 throw new IllegalArgumentException("status line"); // the library would take "+200" for 200
             }
+            headRead = false;
+            mayEndWithConnection = line[1].equals("200");
             return super.createMessage(line);
         }
 
@@ -148,10 +152,19 @@
             refuseBoth();
         }
 
-        /** Reads heads as strictly as those of requests: else a line without a colon counts as a header. */
+        /**
+         * Reads heads as strictly as those of requests: else a line without a colon counts as a header. A body without
+         * a length ends with the connection where something is served; with any other status it has none.
+         */
         @Override
         protected boolean isDecodingRequest() {
-            return true;
+            return !headRead || !mayEndWithConnection;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            headRead = true; // this is asked once, when the head has been read
+            return super.isContentAlwaysEmpty(message);
         }
 
         @Override
--- a/src/main/java/gatefront/upgrade/Neighbour.java
+++ b/src/main/java/gatefront/upgrade/Neighbour.java
@@ -12,7 +12,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.FileTime;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -25,7 +24,7 @@
  * of each other, and each one's bans in a file of its own. A lock goes with its process, however that ends. Owned by
  * the agent's loop; the files are small and in memory, so reading them there takes some microseconds.
  *
- * <p>State: the time stamps of others' files, each dropped when its file is gone.
+ * <p>State: the texts of others' files as last read, each dropped when its file is gone.
  */
 public final class Neighbour {
     private static final String BANS = "gatefront-bans-";
@@ -42,7 +41,7 @@
     private FileLock serving;
     private FileLock coming;
     private String said = "";
-    private final Map<Path, FileTime> seen = new HashMap<>();
+    private final Map<Path, String> seen = new HashMap<>();
 
     /**
      * Takes its place in the folder.
@@ -117,11 +116,8 @@
             try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, BANS + "*")) {
                 for (Path each : files) {
                     if (!each.equals(own) && !each.toString().endsWith(".new")) {
-                        FileTime at = Files.getLastModifiedTime(each);
                         there.add(each);
-                        if (!at.equals(seen.put(each, at))) {
-                            read(each, told);
-                        }
+                        read(each, told);
                     }
                 }
             }
@@ -144,7 +140,11 @@
             if (Files.size(file) > FILE_MAX) {
                 throw new IllegalArgumentException("too long");
             }
-            into.putAll(BansText.read(Files.readString(file)));
+            // Not by its time: two calls may come within one tick of the clock that files are stamped with.
+            String text = Files.readString(file);
+            if (!text.equals(seen.put(file, text))) {
+                into.putAll(BansText.read(text));
+            }
         } catch (IllegalArgumentException | java.nio.charset.CharacterCodingException e) {
             log.accept("upgrade: " + file.getFileName() + " is not believed: " + e.getMessage());
         }
--- a/src/test/java/gatefront/agent/Peer.java
+++ b/src/test/java/gatefront/agent/Peer.java
@@ -136,6 +136,9 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon), line.substring(colon + 1).trim());
         }
+        if ("chunked".equals(headers.get("Transfer-Encoding"))) {
+            return new Message(first, headers, chunks(in));
+        }
         int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
@@ -144,6 +147,25 @@
         return new Message(first, headers, body);
     }
 
+    private static byte[] chunks(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            int size = Integer.parseInt(line(in).split(";")[0], 16);
+            byte[] chunk = in.readNBytes(size);
+            if (chunk.length < size) {
+                throw new EOFException();
+            }
+            body.write(chunk);
+            if (size == 0) {
+                while (!line(in).isEmpty()) {
+                    continue; // trailers
+                }
+                return body.toByteArray();
+            }
+            line(in);
+        }
+    }
+
     private static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int c = in.read(); c != '\n'; c = in.read()) {
--- a/src/test/java/gatefront/upgrade/NeighbourTest.java
+++ b/src/test/java/gatefront/upgrade/NeighbourTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,22 @@
         third.close();
     }
 
+    /** Guards against what is written within the same tick of the clock that files are stamped with. */
+    @Test
+    void whatChangesWithoutANewTimeIsReadToo() throws IOException {
+        Neighbour first = enter("1");
+        Neighbour second = enter("2");
+        FileTime then = FileTime.fromMillis(1_000_000);
+        for (boolean out : List.of(true, false, true)) {
+            Map<String, Bans.Entry> entries = Map.of("s", new Bans.Entry(out, out ? 5 : 55));
+            first.tell(entries);
+            Files.setLastModifiedTime(folder.resolve("gatefront-bans-1"), then);
+            assertEquals(entries, second.look());
+        }
+        first.close();
+        second.close();
+    }
+
     @Test
     void oneThatFailsBeforeItServesIsForgotten() throws IOException {
         Neighbour first = enter("1");
