An answer that has begun takes no room at its server, and its writing counts as no work

Slow readers held their place in flight at the server, and the whole time of a slow answer passed for the server's slowness. Change: streamStarted gives the place back (Rules), and the time told is that to the first of the answer (Engine).

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -276,6 +276,7 @@
         private Channel dialled;
         private boolean written;
         private boolean ended;
+        private boolean answering;
         /** Its answer, where that is passed on in pieces; and when the server last gave some. */
         private Flow flow;
         private long progressAt;
@@ -521,7 +522,13 @@
             Attempt attempt = connection.attempt;
             if (attempt == null) {
                 ctx.close(); // an answer to nothing
-            } else if (!attempt.written || !read(attempt, part)) {
+                return;
+            }
+            if (attempt.written && !attempt.answering) {
+                attempt.answering = true;
+                attempt.then.answering();
+            }
+            if (!attempt.written || !read(attempt, part)) {
                 attempt.broken(); // an answer before the request has left whole cannot be an answer to it
             }
         }
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -394,7 +394,8 @@
 
             @Override
             public void ended(Upstream.Result result) {
-                outcome(pending, attempt, server, took < 0 ? now() - since : took, result);
+                boolean served = result.outcome() == Balancer.Outcome.OK && took >= 0;
+                outcome(pending, attempt, server, served ? took : now() - since, result);
             }
 
             @Override
@@ -412,6 +413,11 @@
                 begins();
             }
 
+            @Override
+            public void answering() {
+                took = now() - since; // what it then takes to write is no work of the server's
+            }
+
             @Override
             public void begun(Payload answer) {
                 if (pending.answered || pending.passing) {
@@ -419,7 +425,6 @@
                     return;
                 }
                 pending.passing = true;
-                took = now() - since;
                 pending.guard.cancel(false);
                 begins();
                 pending.exchange.served(answer);
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -29,6 +29,9 @@
         /** A request that comes in pieces begins to leave: it cannot be sent again. */
         default void spent() { }
 
+        /** The first of an answer has come, whether or not that is good. */
+        default void answering() { }
+
         /** An answer that comes in pieces has begun; its result is told when it has ended. */
         default void begun(Payload answer) { }
     }
--- a/src/main/java/gatefront/policy/Open.java
+++ b/src/main/java/gatefront/policy/Open.java
@@ -32,6 +32,7 @@
         final Target target;
         final long sentAt;
         Outcome outcome;
+        boolean passing;
 
         Attempt(Target target, long sentAt) {
             this.target = target;
@@ -45,11 +46,7 @@
 
     /** How many attempts are out. */
     int out() {
-        int out = 0;
-        for (Attempt attempt : attempts) {
-            out += attempt.outcome == null ? 1 : 0;
-        }
-        return out;
+        return (int) attempts.stream().filter(attempt -> attempt.outcome == null).count();
     }
 
     boolean tried(Target target) {
--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -314,7 +314,7 @@
         }
         Attempt ended = req.attempts.get(attempt);
         ended.outcome = outcome;
-        ended.target.inFlight--;
+        ended.target.inFlight -= ended.passing ? 0 : 1;
         forget(ended.target);
         learn(req, ended.target, outcome, spent, report(ended.target, load, now), now);
         if (closed) {
@@ -386,8 +386,11 @@
     @Override
     public void streamStarted(long now, long request, int attempt, long server, long spent) {
         Open req = open.get(request);
-        if (req != null) {
+        if (req != null && !req.attempts.get(attempt).passing) {
             req.streaming = true;
+            req.attempts.get(attempt).passing = true;
+            req.attempts.get(attempt).target.inFlight--; // its work is done; a slow reader takes no room there
+            release(now);
         }
     }
 
