Settings change on SIGHUP: classes added, dropped and altered, broken files turned down whole

Change: the module's port gains the event; classes keep their numbers for the life of the process, open requests keep their class and attempts; a newer file is held to the keys and kinds of the one in force before anything is touched.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -61,7 +61,8 @@
     private static final int CALLS_LEAST = 1_024;
     private static final long TREND_SECONDS = 1;
 
-    private final Config config;
+    /** As it is now: a reload may change it. */
+    private Config config;
     private final Transport transport;
     private final Budget budget;
     private final Map<Purpose, Budget.Cap> usual;
@@ -430,18 +431,29 @@
     private void reload(Supplier<Config> from, Function<Config, Extensions> besides) {
         try {
             loop.execute(() -> {
+                boolean taken = false;
                 try {
-                    Config read = from.get();
-                    Extensions extensions = besides.apply(read);
+                    Config changed = config.changedBy(from.get());
+                    Extensions extensions = besides.apply(changed);
+                    // All is read and checked; from here on nothing fails.
                     if (extensions != null) {
                         cap(extensions);
                     }
+                    if (!changed.source().equals(config.source())) {
+                        engine.settings(changed.settings());
+                        clients.changed(changed);
+                    }
+                    config = changed;
                     if (asksPadron()) {
-                        discovery.moveTo(read.discovery());
+                        discovery.moveTo(changed.discovery());
                     }
+                    taken = true;
                 } catch (IllegalArgumentException e) {
                     say("reload: the old settings stay: " + e.getMessage());
                 }
+                if (operations != null) {
+                    operations.reloaded(taken);
+                }
             });
         } catch (RejectedExecutionException e) {
             say("reload: not taken, the agent has ended"); // a signal may come at any time of the end
--- a/src/main/java/gatefront/config/Config.java
+++ b/src/main/java/gatefront/config/Config.java
@@ -22,8 +22,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 
 /**
@@ -44,14 +46,18 @@
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
  * @param management where operators call; null if they have no door
+ * @param dropped classes that keep their number and are no longer known by name
+ * @param source the settings as they stood in the file
  */
 public record Config(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery,
                      long seed, int sockets, JsonNode known, Balancer.Settings settings, List<String> classes,
                      List<String> tenants,
                      List<String> zones, List<String> kinds, List<String> loadFields, boolean loadByProbe,
-                     long connectTimeoutMicros, long idleCloseMicros) {
+                     long connectTimeoutMicros, long idleCloseMicros, Set<String> dropped, JsonNode source) {
 
     private static final int NESTING_MAX = 100;
+    /** Classes that there may be in the life of a process: each keeps what it has at every server. */
+    private static final int CLASSES_MOST = 128;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(
         StreamReadConstraints.builder().maxNestingDepth(NESTING_MAX).build()).build();
 
@@ -71,7 +77,7 @@
     public Config managedAt(String address) {
         return address == null || address.isEmpty() ? this : new Config(listen, address(address), discovery, seed,
             sockets, known, settings, classes, tenants, zones, kinds, loadFields, loadByProbe, connectTimeoutMicros,
-            idleCloseMicros);
+            idleCloseMicros, dropped, source);
     }
 
     /** Takes the configuration from its JSON. */
@@ -88,7 +94,50 @@
             names(settings.path("load-info").path("fields")),
             settings.path("load-info").path("via").asText().equals("probe"),
             atLeast(1000, need(settings, "caps"), "dial-timeout-us"),
-            atLeast(1000, need(settings, "caps"), "idle-close-us"));
+            atLeast(1000, need(settings, "caps"), "idle-close-us"), Set.of(), settings);
+    }
+
+    /** The number of a class that is known by this name, or negative. */
+    public int classNumber(String name) {
+        return dropped.contains(name) ? -1 : classes.indexOf(name);
+    }
+
+    /**
+     * What a newer file makes of this configuration: its classes and tenants, what is permitted, where discovery is.
+     * Names keep their numbers, new ones follow, and those that the file has no more are dropped.
+     *
+     * @throws IllegalArgumentException if the file lacks what the one before had, or makes no sense; one plain line
+     */
+    public Config changedBy(Config newer) {
+        Changes.check(source, newer.source);
+        List<String> names = new ArrayList<>(classes);
+        List<Balancer.RequestClass> types = new ArrayList<>(settings.classes());
+        Set<String> gone = new HashSet<>(classes);
+        for (int i = 0; i < newer.classes.size(); i++) {
+            String name = newer.classes.get(i);
+            gone.remove(name);
+            int at = names.indexOf(name);
+            if (at < 0) {
+                names.add(name);
+                types.add(newer.settings.classes().get(i));
+            } else {
+                types.set(at, newer.settings.classes().get(i));
+            }
+        }
+        if (names.size() > CLASSES_MOST) {
+            throw new IllegalArgumentException("config: classes: " + names.size() + " different names since the start, "
+                + "more than the " + CLASSES_MOST + " that may be; it needs a restart");
+        }
+        Balancer.Settings was = settings;
+        Balancer.Settings is = newer.settings;
+        Balancer.Settings merged = new Balancer.Settings(was.agent(), was.agents(), was.zone(), was.zones(), was.tick(),
+            was.askDiscovery(), was.warmKeys(), was.listedWeights(), was.worthByWork(), is.overQuotaWorth(),
+            new Balancer.Permits(is.permits().maxAttempts(), was.permits().duplicates(), was.permits().cancel(),
+                was.permits().probes(), was.permits().messages(), is.permits().maxRetryAfter()),
+            is.obligations(), is.prices(), is.goal(), List.copyOf(types), is.tenants(), was.loadFields());
+        return new Config(listen, management, newer.discovery, seed, sockets, known, merged, List.copyOf(names),
+            newer.tenants, zones, kinds, loadFields, loadByProbe, connectTimeoutMicros, idleCloseMicros,
+            Set.copyOf(gone), newer.source);
     }
 
     /**
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -132,6 +132,14 @@
         return anchorMicros + transport.nanos() / 1000;
     }
 
+    /** The settings have changed; see {@link Balancer#settings}. Requests that are held keep theirs. */
+    public void settings(Balancer.Settings changed) {
+        int classes = Math.max(tally.classes(), changed.classes().size());
+        tally.grow(classes);
+        limits.grow(classes);
+        event(() -> balancer.settings(now(), changed));
+    }
+
     /** How requests have ended; to be asked on its loop. */
     public Tally tally() {
         return tally;
--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -73,7 +73,7 @@
     private static final long UPLOAD_STALLED_MS = 2_500;
 
     private final Transport transport;
-    private final Config config;
+    private Config config;
     private final Listener listener;
     private final BooleanSupplier ready;
 
@@ -93,6 +93,11 @@
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new Caller(channel, decoder));
     }
 
+    /** Requests whose heads come from now on are read by this configuration. */
+    public void changed(Config to) {
+        config = to;
+    }
+
     /** One request and the answer it is owed. */
     private final class Exchange implements gatefront.engine.Exchange {
         private final Caller connection;
@@ -579,7 +584,7 @@
             }
         }
         String named = headers.get(REQUEST_CLASS, "");
-        int requestClass = config.classes().indexOf(named);
+        int requestClass = config.classNumber(named);
         long timeout = Decoders.digits(headers.get(HttpUpstream.REQUEST_TIMEOUT), 0);
         long hint = Decoders.digits(headers.get(WORK_HINT, "0"), -1);
         String id = headers.get(REQUEST_ID, "");
--- a/src/main/java/gatefront/limits/ClassLimits.java
+++ b/src/main/java/gatefront/limits/ClassLimits.java
@@ -12,11 +12,11 @@
 public final class ClassLimits {
     private static final long SAY_EVERY = 60_000_000;
 
-    private final int[] inProgress;
-    private final int[] most;
+    private int[] inProgress;
+    private int[] most;
     /** Turned away since the limit was last said to be met, and when that was; said once a minute at the most. */
-    private final long[] refused;
-    private final long[] saidAt;
+    private long[] refused;
+    private long[] saidAt;
 
     /** Without limits, for so many classes. */
     public ClassLimits(int classes) {
@@ -28,6 +28,17 @@
         Arrays.fill(saidAt, Long.MIN_VALUE / 2);
     }
 
+    /** There are so many classes now; new ones have no limit. */
+    public void grow(int classes) {
+        int known = most.length;
+        inProgress = Arrays.copyOf(inProgress, classes);
+        most = Arrays.copyOf(most, classes);
+        refused = Arrays.copyOf(refused, classes);
+        saidAt = Arrays.copyOf(saidAt, classes);
+        Arrays.fill(most, known, classes, Integer.MAX_VALUE);
+        Arrays.fill(saidAt, known, classes, Long.MIN_VALUE / 2);
+    }
+
     /** All limits that there are now, by the class's index; the others have none. */
     public void set(Map<Integer, Integer> limits) {
         Arrays.fill(most, Integer.MAX_VALUE);
--- a/src/main/java/gatefront/policy/Balancer.java
+++ b/src/main/java/gatefront/policy/Balancer.java
@@ -248,6 +248,15 @@
      */
     void message(long now, int agent, byte[] message);
 
+    /**
+     * The settings have changed. Classes keep their numbers: those told before are there with what they are now,
+     * further ones follow. Requests that have come before keep their class as it was, and the attempts that it had.
+     *
+     * @param now the time
+     * @param settings from now on; of them the classes and what the host permits are heeded
+     */
+    void settings(long now, Settings settings);
+
     /**
      * How many listed servers that may take requests it avoids for their health. Changes nothing.
      *
--- a/src/main/java/gatefront/policy/CheckedBalancer.java
+++ b/src/main/java/gatefront/policy/CheckedBalancer.java
@@ -85,7 +85,7 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Balancer balancer;
     private final Map<Long, Seen> requests = new HashMap<>();
     private long latest;
@@ -171,6 +171,18 @@
         event(now, () -> balancer.message(now, agent, message));
     }
 
+    @Override
+    public void settings(long now, Settings changed) {
+        if (Objects.requireNonNull(changed, "changed").classes().size() < settings.classes().size()) {
+            throw new IllegalArgumentException("classes keep their numbers: " + changed.classes().size() + " after "
+                + settings.classes().size());
+        }
+        event(now, () -> {
+            settings = changed;
+            balancer.settings(now, changed);
+        });
+    }
+
     @Override
     public int avoided(long now) {
         return balancer.avoided(now);
--- a/src/main/java/gatefront/policy/ClassState.java
+++ b/src/main/java/gatefront/policy/ClassState.java
@@ -6,7 +6,7 @@
 
 /** What one agent knows of one class of requests. State only: {@link Rules} decides. */
 final class ClassState {
-    final RequestClass type;
+    RequestClass type;
     /** Its requests that wait in this agent for want of room. */
     final Deque<Open> held = new ArrayDeque<>();
     /** Requests come and requests served, as counts that fade. */
--- a/src/main/java/gatefront/policy/Open.java
+++ b/src/main/java/gatefront/policy/Open.java
@@ -4,11 +4,15 @@
 import java.util.List;
 import gatefront.policy.Balancer.Outcome;
 import gatefront.policy.Balancer.Request;
+import gatefront.policy.Balancer.RequestClass;
 
 /** One request that an agent has taken. State only: {@link Rules} decides. */
 final class Open {
     final Request request;
     final ClassState state;
+    /** Its class as it was when it came, and how many attempts it may have. */
+    final RequestClass type;
+    final int attemptsMost;
     /** Names its timer. */
     final long token;
     final long cameAt;
@@ -19,9 +23,11 @@
     boolean held;
     boolean streaming;
 
-    Open(Request request, ClassState state, long token, long cameAt, long endAt) {
+    Open(Request request, ClassState state, int attemptsMost, long token, long cameAt, long endAt) {
         this.request = request;
         this.state = state;
+        this.type = state.type;
+        this.attemptsMost = attemptsMost;
         this.token = token;
         this.cameAt = cameAt;
         this.endAt = endAt;
--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -14,10 +14,8 @@
 import gatefront.policy.Target.Health;
 
 /**
- * Every decision of one agent's balancer. The ordinary path of a request: of two random available servers
- * of the own zone, the one with fewer of this agent's requests in flight; then other zones; then all.
- * Order of this file: settings of the mechanism, life of a request, what a request's history permits,
- * pick, limits, health, cold start, server list.
+ * Every decision of one agent's balancer. The ordinary path of a request: of two random available servers of the own
+ * zone, the one with fewer of this agent's requests in flight; then other zones; then all.
  */
 public final class Rules implements Balancer {
     private static final long SECOND = 1_000_000;
@@ -112,7 +110,7 @@
     private static final long TIMER_SWEEP = -2;
     private static final long TIMER_ASK = -3;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<Long, Target> targets = new HashMap<>();
@@ -162,6 +160,19 @@
         }
     }
 
+    @Override
+    public void settings(long now, Settings changed) {
+        settings = changed;
+        for (int i = 0; i < changed.classes().size(); i++) {
+            if (i == classes.size()) {
+                classes.add(new ClassState(changed.classes().get(i), QUANTILE));
+                order.add(classes.get(i));
+            }
+            classes.get(i).type = changed.classes().get(i);
+        }
+        targets.values().forEach(each -> each.grow(classes.size()));
+    }
+
     // ---- Life of a request ----
 
     @Override
@@ -170,13 +181,12 @@
         RequestClass type = state.type;
         long aim = type.aim() + (long) (type.aimStretch() * request.cost());
         long spent = spentBefore(request, state, now);
-        // Danger: work for an answer already too late. Where that is only reckoned, not marked, such a
-        // request is still served while nobody waits: a client may be hasty by nature.
+        // Danger: work for an answer already too late. Where that is only reckoned, one is served while nobody waits.
         boolean late = spent > 0 && type.lateShare() == 0 && aim - spent < state.times.value();
         long left = late && !request.repeated() ? aim : aim - spent;
         long last = request.deadline() - settings.tick();
         long endAt = type.lateShare() > 0 ? last : Math.min(last, now + left - settings.tick());
-        Open req = new Open(request, state, nextToken++, now, endAt);
+        Open req = new Open(request, state, settings.permits().maxAttempts(), nextToken++, now, endAt);
         open.put(request.id(), req);
         byToken.put(req.token, req);
         actions.timer(req.token, Math.max(0, endAt - now));
@@ -193,8 +203,7 @@
         }
     }
 
-    // What a client's repeat has behind it. First tries of a class all bring the same time; a request that brings
-    // another is a repeat, and what it lacks of the time for all tries is spent.
+    // What a client's repeat has behind it: it brings less time than first tries of its class, which bring the same.
     private long spentBefore(Request request, ClassState state, long now) {
         long left = request.deadline() - now;
         boolean usual = Math.abs(left - state.usualLeft) <= SAME_TICKS * settings.tick();
@@ -216,7 +225,7 @@
 
     /** Sends a request if its history permits and a server has room. */
     private boolean dispatch(Open req, long now) {
-        if (req.attempts.size() >= settings.permits().maxAttempts() || now >= req.endAt) {
+        if (req.attempts.size() >= req.attemptsMost || now >= req.endAt) {
             return false;
         }
         Target target = pick(req, now);
@@ -227,7 +236,7 @@
         req.attempts.add(new Attempt(target, now));
         target.inFlight++;
         target.coldTokens -= 1;
-        actions.send(req.request.id(), target.id, req.state.type.streamed() ? 0 : req.endAt - now);
+        actions.send(req.request.id(), target.id, req.type.streamed() ? 0 : req.endAt - now);
         return true;
     }
 
@@ -246,8 +255,7 @@
         }
     }
 
-    // Sends what was held for want of room, the newest of each class first. Danger: oldest first, in a long queue each
-    // is sent when it is just too late, and the servers work for nobody.
+    // Sends what was held, the newest of each class first. Danger: oldest first, each is sent when it is just too late.
     private void release(long now) {
         for (ClassState state : order) {
             var queue = state.held;
@@ -331,7 +339,7 @@
 
     /** After a failed attempt: another one where permitted and affordable, or the final answer. */
     private void again(Open req, long now) {
-        boolean worthIt = !hopeless(req, now) && req.attempts.size() < settings.permits().maxAttempts();
+        boolean worthIt = !hopeless(req, now) && req.attempts.size() < req.attemptsMost;
         if (worthIt && maySend(req, now) && retries >= 1) {
             retries -= 1;
             dispatchOrHold(req, now);
@@ -423,27 +431,24 @@
 
     // ---- What a request's history permits ----
 
-    /**
-     * Whether another attempt may be sent, given those before. Danger: an effect twice. Unsafe requests go
-     * again only once every attempt provably never ran; keyed ones only inside the window of each that may
-     * have run. {@link #inGroups} says where to.
-     */
+    // Danger: an effect twice. Unsafe requests go again only once every attempt provably never ran; keyed ones only
+    // inside the window of each that may have run, and where inGroups says.
     private boolean maySend(Open req, long now) {
-        Semantics semantics = req.state.type.semantics();
+        Semantics semantics = req.type.semantics();
         boolean sending = req.out() > 0 && !(settings.permits().duplicates() && semantics == Semantics.SAFE);
         if (req.closed || req.streaming || sending) {
             return false;
         }
         // Danger: a repeat that arrives after the window runs again; leave time for the way.
-        long window = (long) (WINDOW_SURE * req.state.type.window());
+        long window = (long) (WINDOW_SURE * req.type.window());
         return semantics == Semantics.SAFE || req.attempts.stream().allMatch(attempt -> !attempt.mayHaveRun()
             || semantics == Semantics.KEYED && now < attempt.sentAt + window);
     }
 
     /** Whether a server is in the group of every earlier attempt that may have run. */
     private boolean inGroups(Open req, Target target) {
-        Scope scope = req.state.type.scope();
-        if (req.state.type.semantics() != Semantics.KEYED || scope == Scope.ALL) {
+        Scope scope = req.type.scope();
+        if (req.type.semantics() != Semantics.KEYED || scope == Scope.ALL) {
             return true;
         }
         return req.attempts.stream().allMatch(attempt -> !attempt.mayHaveRun() || (scope == Scope.ZONE
@@ -453,9 +458,9 @@
 
     /** A refusal says that trying again is harmless: danger of an effect twice if it is not. */
     private boolean mayRefuse(Open req) {
-        Semantics semantics = req.state.type.semantics();
+        Semantics semantics = req.type.semantics();
         return semantics == Semantics.SAFE || req.attempts.stream().noneMatch(Attempt::mayHaveRun)
-            || semantics == Semantics.KEYED && req.state.type.scope() == Scope.ALL;
+            || semantics == Semantics.KEYED && req.type.scope() == Scope.ALL;
     }
 
     // ---- Pick ----
@@ -486,8 +491,7 @@
         }
         best = draw(req, now, true, 0);
         if (best != null && availableHere) {
-            // Danger: keys that cross only after waiting are met by too many servers and known to none. As
-            // long as requests have to wait out the price, more of the keys go over, always the same ones.
+            // Danger: keys that cross only after waiting are known to no server. The same ones cross, more of them.
             spill += SPILL_STEP * (1 - spill);
         }
         return best;
@@ -548,10 +552,9 @@
         return settings.warmKeys() || stretch(a, now) <= stretch(b, now) ? a : b;
     }
 
-    // From how many servers an agent draws: few while it sends little, more with the work it sends. Danger: many light
-    // agents that each use every server fill the servers' connection tables, pay a handshake for nearly every request,
-    // and none sees enough of one server to judge it. What is out does not count: it grows in a jam, and the jam with
-    // it.
+    // From how many servers an agent draws: few while it sends little. Danger: many light agents that each use every
+    // server fill the connection tables, pay a handshake for nearly every request, and see none enough to judge it.
+    // What is out does not count: it grows in a jam, and the jam with it.
     private int spread(int least, long now) {
         busy *= Math.exp(-(double) (now - busyAt) / RATE_PERIOD);
         busyAt = now;
@@ -562,8 +565,7 @@
         return Math.max(least, SUBSET_SHARERS * listed.size() / settings.agents());
     }
 
-    // Leaves servers with at most one over the mean in flight: hashing with bounded loads. Danger: the servers of a
-    // key that many ask for have far more than the others, up to their limits.
+    // Leaves servers with at most one over the mean in flight. Danger: those of a key that many ask for are flooded.
     private void leaveBusy() {
         double most = 1 + scratch.stream().mapToInt(each -> each.inFlight).average().orElse(0);
         scratch.removeIf(target -> target.inFlight > most);
@@ -615,8 +617,7 @@
         boolean alone = fault && othersAnswer(target, own, now);
         own.failedAt = fault ? now : own.failedAt;
         if (outcome != Outcome.OK && (outcome != Outcome.TIMEOUT || now - spent > own.answeredAt)) {
-            // Danger: a server that fails at once always has the fewest in flight and would draw everything;
-            // and of many agents none sends a silent server enough to fill the window.
+            // Danger: a server that fails at once has the fewest in flight; and few agents fill a silent one's window.
             long usual = (long) Math.max(req.state.typical, settings.tick());
             if (!alone && (outcome != Outcome.TIMEOUT || now - spent > target.answeredAt)) {
                 target.restUntil = now + (usual << target.failuresInRow);
@@ -625,12 +626,11 @@
             own.restUntil = now + (usual << own.failuresInRow);
             own.failuresInRow = Math.min(REST_DOUBLINGS, own.failuresInRow + 1);
         }
-        // Danger: a connection that breaks says nothing about room; to make less room for each leaves servers
-        // idle behind a network that resets now and then.
+        // Danger: a connection that breaks says nothing about room, and a bad network would leave servers idle.
         boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET;
         if (outcome != Outcome.OK && crowded || slow(req, target, spent)) {
             // In proportion where it is low: one slow answer must not close a server to a light agent.
-            double factor = spent > req.state.type.aim() ? LIMIT_LATE : LIMIT_FACTOR;
+            double factor = spent > req.type.aim() ? LIMIT_LATE : LIMIT_FACTOR;
             double less = target.limit > LIMIT_FEW ? target.limit - LIMIT_DOWN : factor * target.limit;
             target.limit = Math.max(Math.min(1, LIMIT_LEAST / settings.agents()), less);
         } else if (queued > QUEUE_MOST) {
@@ -669,9 +669,8 @@
         return target.byClass[req.request.requestClass()];
     }
 
-    // Whether other classes than this are answered here and have not failed lately. Danger: a release that breaks one
-    // class at half of the servers would take their room from all; but where some of every class fail, the server
-    // does.
+    // Whether other classes are answered here and have not failed lately. Danger: a release that breaks one class would
+    // take the room from all; but where some of every class fail, the server does.
     private static boolean othersAnswer(Target target, ByClass own, long now) {
         boolean answered = false;
         for (ByClass each : target.byClass) {
@@ -720,14 +719,13 @@
         return usual + (target.stretch - usual) * Math.exp(-(double) (now - target.stretchAt) / RATE_PERIOD);
     }
 
-    // Whether an answer was slow for its class and its server's nature. Danger: where the aim leaves room for many
-    // times the work, a short queue does no harm, and to pause for it leaves servers idle; so does holding small
-    // machines to the pace of the large ones.
+    // Whether an answer was slow for its class and its server's nature. Danger: where the aim leaves room, to pause for
+    // a short queue leaves servers idle; so does holding small machines to the pace of the large ones.
     private boolean slow(Open req, Target target, long spent) {
         Quantile times = req.state.times;
         double nature = target.pace.known() ? Math.max(1, Math.min(NATURE_MAX, target.pace.lowest())) : 1;
         double most = SLOW_SHARE * (req.endAt - req.cameAt);
-        return spent > Math.max(target.limit > LIMIT_FEW ? 0 : HARMLESS_SHARE * req.state.type.aim(),
+        return spent > Math.max(target.limit > LIMIT_FEW ? 0 : HARMLESS_SHARE * req.type.aim(),
             times.known() ? Math.min(most, SLOW_MULTIPLE * nature * times.lowest()) : most);
     }
 
@@ -780,8 +778,7 @@
                 peerFailed += theirs.failed;
             }
         }
-        // Danger: when everything fails alike, removing servers pushes their load onto the rest; and a few
-        // requests prove little. What peers fail would have to be exceeded clearly.
+        // Danger: when everything fails alike, removing servers pushes their load onto the rest.
         double expected = total * (double) peerFailed / peerTotal;
         if (failed <= expected + SURE * Math.sqrt(Math.max(1, expected))) {
             return;
@@ -810,8 +807,7 @@
         return watched.isEmpty() ? listed : watched;
     }
 
-    // Sends the next probe and sets the time of another. Danger: every agent probes every server, and at size the
-    // probes cost more than the requests; and agents started together would probe in step.
+    // Sends the next probe and sets the time of another. Danger: at size, or in step, probes cost more than requests.
     private void probe(long now, double from) {
         probing = settings.permits().probes() && !listed.isEmpty();
         if (!probing) {
@@ -848,8 +844,7 @@
             }
             target.active = Health.HEALTHY;
         } else if ((outcome == Outcome.TIMEOUT || outcome == Outcome.RESET) && target.answeredSinceProbe) {
-            // Danger: a busy server answers probes late, and a connection may break under one; real answers
-            // prove that it lives.
+            // Danger: a busy server answers probes late, or a connection breaks; real answers prove that it lives.
             target.probeFailures = 0;
         } else {
             if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
@@ -873,9 +868,8 @@
         target.broken = true;
     }
 
-    // First answer after a break: it may have restarted, whatever the list says; treat it as cold. Danger: a network
-    // that resets connections now and then makes every server cold, over and over, and the requests of all are turned
-    // away; a process does not come back within the time of one more try.
+    // First answer after a break: it may have restarted, so it counts as cold. Danger: a network that resets now and
+    // then makes every server cold, over and over; a process does not come back within the time of one more try.
     private void recovered(Target target, long now) {
         if (target.broken) {
             target.broken = false;
@@ -910,9 +904,8 @@
     }
 
     // Requests this agent may send to a cold server now. Danger: all agents together push it over. Each keeps to the
-    // server's part of its own demand, were that spread over all, times the part that is surely warm, and that the
-    // more often the better it keeps up by its own reports. What it gets answered elsewhere says nothing to an agent
-    // that has just started, nor where a whole zone is cold.
+    // server's part of its own demand, spread over all, times the part surely warm, and more the better it keeps up
+    // by its reports. What is answered elsewhere says nothing to a new agent, nor where a whole zone is cold.
     private double coldBudget(Target target, long now) {
         double perSecond = demand(now) * target.weight() / weights * surely(target, now) * target.coldRoom;
         double most = 1 + perSecond * COLD_BURST * settings.obligations().overloadTime() / SECOND;
--- a/src/main/java/gatefront/policy/Target.java
+++ b/src/main/java/gatefront/policy/Target.java
@@ -1,6 +1,7 @@
 package gatefront.policy;
 
 import gatefront.policy.Balancer.Server;
+import java.util.Arrays;
 
 /** What one agent knows of one server. State only: {@link Rules} decides. */
 final class Target {
@@ -40,7 +41,7 @@
     int failuresInRow;
     long restUntil;
     /** The same by class of requests, in the settings' order. */
-    final ByClass[] byClass;
+    ByClass[] byClass = {};
 
     /** Start and end of the warm-up this agent believes in. */
     long coldSince;
@@ -57,10 +58,14 @@
 
     Target(long id, int classes) {
         this.id = id;
-        this.byClass = new ByClass[classes];
-        for (int i = 0; i < classes; i++) {
-            byClass[i] = new ByClass();
-        }
+        grow(classes);
+    }
+
+    /** There are so many classes now. */
+    void grow(int classes) {
+        int known = byClass.length;
+        byClass = Arrays.copyOf(byClass, classes);
+        Arrays.setAll(byClass, i -> i < known ? byClass[i] : new ByClass());
     }
 
     /** Its listed weight; a list may lie, and one that makes no sense is that of any server. */
--- /dev/null
+++ b/src/test/java/gatefront/policy/SettingsChangeTest.java
@@ -0,0 +1,75 @@
+package gatefront.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import gatefront.policy.Balancer.Outcome;
+import gatefront.policy.Balancer.Permits;
+import gatefront.policy.Balancer.Scope;
+import gatefront.policy.Balancer.Semantics;
+import gatefront.policy.Balancer.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Settings that change under way, without sockets: open requests keep the class that they came with. */
+class SettingsChangeTest {
+    private static Settings settings(int attempts, Semantics... classes) {
+        List<Balancer.RequestClass> types = new ArrayList<>();
+        for (Semantics each : classes) {
+            types.add(Hand.type(each, Scope.ALL));
+        }
+        return Hand.settings(types, new Permits(attempts, false, true, true, false, Hand.SECOND), 2, 2);
+    }
+
+    @Test
+    void aKeyedRequestWhoseClassTurnsUnsafeMayStillGoAgainAndTheNextMayNot() {
+        Hand hand = new Hand(settings(4, Semantics.KEYED)).full(Hand.server(1, 0), Hand.server(2, 0));
+        long before = hand.request();
+        hand.balancer.settings(hand.now, settings(4, Semantics.UNSAFE));
+        long after = hand.request();
+        hand.end(before, 0, Outcome.ERROR, 10_000);
+        hand.end(after, 0, Outcome.ERROR, 10_000);
+        assertEquals(2, hand.sends(before).size());
+        assertEquals(1, hand.sends(after).size());
+    }
+
+    @Test
+    void anUnsafeRequestWhoseClassTurnsSafeDoesNotGoAgain() {
+        Hand hand = new Hand(settings(4, Semantics.UNSAFE)).full(Hand.server(1, 0), Hand.server(2, 0));
+        long before = hand.request();
+        hand.balancer.settings(hand.now, settings(4, Semantics.SAFE));
+        hand.end(before, 0, Outcome.ERROR, 10_000);
+        assertEquals(1, hand.sends(before).size());
+    }
+
+    @Test
+    void fewerAttemptsHoldForWhatComesFromThenOn() {
+        Hand hand = new Hand(settings(4, Semantics.SAFE)).full(Hand.server(1, 0), Hand.server(2, 0));
+        long before = hand.request();
+        hand.balancer.settings(hand.now, settings(1, Semantics.SAFE));
+        long after = hand.request();
+        hand.end(before, 0, Outcome.ERROR, 10_000);
+        hand.end(after, 0, Outcome.ERROR, 10_000);
+        assertEquals(2, hand.sends(before).size());
+        assertEquals(1, hand.sends(after).size());
+    }
+
+    @Test
+    void aNewClassIsServedByServersKnownBefore() {
+        Hand hand = new Hand(settings(4, Semantics.SAFE)).full(Hand.server(1, 0), Hand.server(2, 0));
+        hand.balancer.settings(hand.now, settings(4, Semantics.SAFE, Semantics.UNSAFE));
+        long id = hand.request(1, 0);
+        hand.end(id, 0, Outcome.OK, 10_000);
+        assertEquals(1, hand.sends(id).size());
+    }
+
+    @Test
+    void theCheckedModuleHoldsItsHostToTheNumbersOfClasses() {
+        Balancer checked = new CheckedBalancer(settings(4, Semantics.SAFE, Semantics.SAFE), 1, 0,
+            new Hand(settings(4, Semantics.SAFE)));
+        assertThrows(IllegalArgumentException.class, () -> checked.settings(1, settings(4, Semantics.SAFE)));
+        checked.settings(1, settings(4, Semantics.SAFE, Semantics.KEYED, Semantics.SAFE));
+        checked.request(1, new Balancer.Request(1, 2, 0, 0, 0, 1_000_000, false, false));
+    }
+}
--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -64,6 +64,11 @@
         @Override
         public void message(long now, int from, byte[] message) { }
 
+        @Override
+        public void settings(long now, Settings changed) {
+            right.settings(now, changed);
+        }
+
         @Override
         public int avoided(long now) {
             return right.avoided(now);
