While every listed server drains or is out by hand, what comes is refused at once

Cause: with all backends out by hand a request waited in the module until its aim had passed, with no attempt written. Change: one condition where a request comes, on the weights of those that take requests.

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -196,7 +196,7 @@
         fade(now);
         came += request.repeated() || spent > 0 ? 0 : 1;
         retries = Math.min(RETRY_BANK, retries + RETRY_EARNED);
-        if (late && (request.repeated() || waiting())) {
+        if (late && (request.repeated() || waiting()) || weights == 0 && !listed.isEmpty()) { // all drain: at once
             finish(req, now);
         } else {
             dispatchOrHold(req, now);
--- a/src/test/java/gatefront/policy/SettingsChangeTest.java
+++ b/src/test/java/gatefront/policy/SettingsChangeTest.java
@@ -64,6 +64,21 @@
         assertEquals(1, hand.sends(id).size());
     }
 
+    /** Where every listed server drains, or is out by hand, waiting brings nothing; where none is listed yet it may. */
+    @Test
+    void whileEveryServerDrainsWhatComesIsRefusedAtOnce() {
+        Hand hand = new Hand(settings(4, Semantics.UNSAFE));
+        long first = hand.request();
+        assertEquals(0, hand.acts.stream().filter(each -> each.what().equals("refuse")).count());
+        hand.full(Hand.server(1, 0), Hand.server(2, 1));
+        assertEquals(1, hand.sends(first).size(), "what came before the list has waited for it");
+        hand.full(Hand.server(1, 0, Balancer.Phase.DRAINING, 0), Hand.server(2, 1, Balancer.Phase.DRAINING, 0));
+        long id = hand.request();
+        assertEquals(1, hand.acts.stream().filter(each -> each.what().equals("refuse") && each.id() == id).count());
+        hand.full(Hand.server(1, 0), Hand.server(2, 1));
+        assertEquals(1, hand.sends(hand.request()).size());
+    }
+
     @Test
     void theCheckedModuleHoldsItsHostToTheNumbersOfClasses() {
         Balancer checked = new CheckedBalancer(settings(4, Semantics.SAFE, Semantics.SAFE), 1, 0,
