An upload that turns to noise ends at once; a caller that left is not kept after its last piece

Found by reading the change: the last piece's write could end after its connection had, which was then kept in the front's sets for good; and a chunk that cannot be read left its server's attempt open for 2.5 s. Test for the second.

--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -207,8 +207,11 @@
                 public void ended() {
                     passing = null;
                     // Not before the caller has taken it: the time that a last answer has does not begin until then.
-                    connection.write(LastHttpContent.EMPTY_LAST_CONTENT, 0).addListener(done ->
-                        connection.answered(Exchange.this, (ChannelFuture) done, last));
+                    connection.write(LastHttpContent.EMPTY_LAST_CONTENT, 0).addListener(done -> {
+                        if (connection.current == Exchange.this) { // else its caller has left meanwhile
+                            connection.answered(Exchange.this, (ChannelFuture) done, last);
+                        }
+                    });
                 }
 
                 @Override
@@ -450,6 +453,10 @@
          * error for the answer to what it asked before, and against reading on what nobody will use.
          */
         private void wrong(HttpResponseStatus error) {
+            if (upload != null) {
+                endUpload(error);
+                return;
+            }
             deaf = true;
             body = Unpooled.EMPTY_BUFFER;
             channel.config().setAutoRead(false);
--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -195,6 +195,23 @@
         idle();
     }
 
+    /** Nobody gets a body that cannot be read to its end, and its caller hears at once. */
+    @Test
+    void anUploadThatTurnsToNoiseEndsWithAnError() throws Exception {
+        Peer server = stage.server((message, socket) -> Peer.answer(socket, 200, "", "served"));
+        stage.start();
+        Socket socket = stage.dial();
+        Peer.write(socket, stage.request("order", 8000, "").replace("Content-Length: 0",
+            "Transfer-Encoding: chunked") + "30d40\r\n");
+        write(socket, new byte[200_000]);
+        Peer.write(socket, "\r\nnoise\r\n");
+        long begin = System.nanoTime();
+        assertEquals(400, Peer.read(socket.getInputStream()).status());
+        assertTrue(System.nanoTime() - begin < 1_000_000_000L);
+        idle();
+        assertEquals(0, server.requests.size());
+    }
+
     @Test
     void whatIsLongerThanAnyBodyIsTurnedAway() throws Exception {
         stage.server((message, socket) -> Peer.answer(socket, 200, "", ""));
