--- a/src/test/java/gatefront/agent/OperationTest.java
+++ b/src/test/java/gatefront/agent/OperationTest.java
@@ -223,6 +223,43 @@
         assertEquals(1, stats().get("pool_ejected"), "and after the old process has ended");
     }
 
+    /** A large answer goes on through the handover, and the process that took over is itself taken over from. */
+    @Test
+    void twoUpgradesInARowDuringALargeSlowAnswer() throws Exception {
+        byte[] piece = new byte[30_000];
+        stage.server((message, socket) -> {
+            if (message.target().startsWith("/order")) {
+                Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1500000\r\n\r\n");
+                for (int i = 0; i < 50; i++) {
+                    socket.getOutputStream().write(piece);
+                    Thread.sleep(100);
+                }
+            } else {
+                Peer.answer(socket, 200, "", "a");
+            }
+        });
+        stage.config.put("listen", "127.0.0.1:" + freePort());
+        start();
+        Agent first = stage.agent;
+        assertEquals(200, door("POST", "/backends/s-1/maint").status());
+        assertEquals(200, door("POST", "/backends/s-1/ready").status());
+        Stage.await(() -> stats().get("pool_ejected") == 0);
+        Socket slow = stage.dial();
+        Peer.write(slow, stage.request("order", 8000, "body"));
+        Stage.await(() -> stage.arrived() > 0 && first.budget().of(gatefront.budget.Purpose.CALLS).entries() > 0);
+        start();
+        Agent second = stage.agent;
+        Peer.daemon(first::stop);
+        assertEquals("a", stage.call("lookup").text());
+        start();
+        Peer.daemon(second::stop);
+        assertEquals("a", stage.call("lookup").text());
+        assertEquals(1_500_000, Peer.read(slow.getInputStream()).body().length);
+        first.awaitEnd();
+        second.awaitEnd();
+        assertEquals("a", stage.call("lookup").text());
+    }
+
     /** The new process that fails before its yes leaves the old one as it was. */
     @Test
     void theOldProcessServesOnWhenTheNewOneCannotStart() throws Exception {
