Time told is that to the answer's head; a process that cannot take over fails

Found by reading the change: a 1xx ahead of an answer passed for the answer's time; a new process that could not bind beside the old one ended with code 0 and kept its lock in a failed start. Tests for both, and for the hard cases that had none: a ban while an attempt waits for its connection, a repeat after a ban, the last server of a zone, a file replaced while it is read, a kill in mid-handover, a ban and a broken file during an upgrade, the door while the loop is flooded, a chunked upload whose server dies, the accept queue at the handover.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -82,6 +82,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
     private volatile Runnable whenEnded = () -> { };
+    private volatile boolean failed;
     private boolean ending;
     /** Whether a list has come, or has been waited for long enough; and whether the path has been run. */
     private boolean listed;
@@ -204,20 +205,7 @@
     }
 
     /**
-     * Starts an agent; it listens when this returns.
-     *
-     * @param config its configuration file
-     * @param extensions the file of our own beside it, or null
-     * @return the running agent
-     * @throws IllegalArgumentException if a file is unusable; the message is one plain line
-     * @throws IOException if an address cannot be listened on
-     */
-    public static Agent start(Path config, Path extensions) throws IOException {
-        return start(config, extensions, null, null);
-    }
-
-    /**
-     * The same, as the platform starts it.
+     * Starts an agent; its doors are open when this returns.
      *
      * @param config its configuration file
      * @param extensions the file of our own beside it, or null
@@ -259,22 +247,18 @@
             Long.toHexString(config.seed()) + "-" + Long.toHexString(sockets.wallMicros()), sockets::log);
         Agent agent = new Agent(config, extensions, sockets, neighbour, module);
         if (agent.operations != null && !agent.operations.listen().awaitUninterruptibly().isSuccess()) {
-            sockets.close(() -> { });
-            throw new IOException("cannot listen on " + config.management() + " for the operators");
+            throw agent.unable("cannot listen on " + config.management() + " for the operators");
         }
         agent.serves = !agent.follows();
         for (Front each : agent.serves ? agent.fronts : List.<Front>of()) {
             ChannelFuture bound = each.listen().awaitUninterruptibly();
             if (!bound.isSuccess()) {
-                sockets.close(() -> { });
-                throw new IOException("cannot listen on " + (each == agent.clients ? config.listen()
-                    : extensions.thrift().listen())
-                    + ": " + bound.cause().getMessage());
+                throw agent.unable("cannot listen on " + (each == agent.clients ? config.listen()
+                    : extensions.thrift().listen()) + ": " + bound.cause().getMessage());
             }
         }
         if (agent.status != null && !agent.status.listen().awaitUninterruptibly().isSuccess()) {
-            sockets.close(() -> { });
-            throw new IOException("cannot listen on " + extensions.memory().status() + " for the status page");
+            throw agent.unable("cannot listen on " + extensions.memory().status() + " for the status page");
         }
         if (agent.status != null) {
             new MemoryWatch(sockets).start();
@@ -283,6 +267,15 @@
         return agent;
     }
 
+    /** It cannot start: nothing of it is left, and another process is not to think that it is there. */
+    private IOException unable(String why) {
+        if (operations != null) {
+            operations.close();
+        }
+        transport.close(() -> { });
+        return new IOException(why);
+    }
+
     /**
      * Starts an agent on a given loop and network and returns at once; called on that loop.
      *
@@ -366,7 +359,9 @@
         fronts.forEach(each -> each.listen().addListener(done -> {
             if (!done.isSuccess()) {
                 say("cannot listen beside the process that serves: " + done.cause().getMessage());
-                transport.close(ended::countDown); // that one serves on, as if this had never been
+                failed = true;
+                stopping.set(true);
+                close(); // that one serves on, as if this had never been
             } else if (--waiting[0] == 0) {
                 serves = true;
                 sayWhere();
@@ -509,25 +504,34 @@
         // Answers still being written hold their connections open.
         if (fronts.stream().allMatch(Front::isEmpty)) {
             fronts.forEach(Front::stopListening);
-            discovery.close();
-            if (sources != null) {
-                sources.close();
-            }
-            if (status != null) {
-                status.close();
-            }
-            if (operations != null) {
-                operations.close();
-            }
-            transport.close(() -> {
-                ended.countDown();
-                whenEnded.run();
-            });
+            close();
         } else {
             loop.schedule(this::draining, 10, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void close() {
+        discovery.close();
+        if (sources != null) {
+            sources.close();
+        }
+        if (status != null) {
+            status.close();
+        }
+        if (operations != null) {
+            operations.close();
+        }
+        transport.close(() -> {
+            ended.countDown();
+            whenEnded.run();
+        });
+    }
+
+    /** Whether it has ended since it could not take over from another process. */
+    public boolean failed() {
+        return failed;
+    }
+
     /** Waits until the agent has ended. */
     public void awaitEnd() {
         try {
--- a/src/main/java/gatefront/agent/Operations.java
+++ b/src/main/java/gatefront/agent/Operations.java
@@ -92,6 +92,8 @@
         door.close();
         if (looking != null) {
             looking.cancel(false);
+        }
+        if (neighbour != null) {
             neighbour.close();
         }
     }
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -89,9 +89,9 @@
         // SIGTERM runs the hooks: the agent ends in order, and that is no failure.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             agent.stop();
-            Runtime.getRuntime().halt(0);
+            Runtime.getRuntime().halt(agent.failed() ? 1 : 0);
         }));
         agent.awaitEnd();
-        return 0;
+        return agent.failed() ? 1 : 0;
     }
 }
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -276,7 +276,6 @@
         private Channel dialled;
         private boolean written;
         private boolean ended;
-        private boolean answering;
         /** Its answer, where that is passed on in pieces; and when the server last gave some. */
         private Flow flow;
         private long progressAt;
@@ -339,6 +338,11 @@
             });
         }
 
+        /** The head of its answer has come. */
+        public void answering() {
+            then.answering();
+        }
+
         /** Its answer has begun and is passed on in pieces: from now on it may take as long as the server gives. */
         public void begun(Payload answer, Flow pieces) {
             flow = pieces;
@@ -522,13 +526,7 @@
             Attempt attempt = connection.attempt;
             if (attempt == null) {
                 ctx.close(); // an answer to nothing
-                return;
-            }
-            if (attempt.written && !attempt.answering) {
-                attempt.answering = true;
-                attempt.then.answering();
-            }
-            if (!attempt.written || !read(attempt, part)) {
+            } else if (!attempt.written || !read(attempt, part)) {
                 attempt.broken(); // an answer before the request has left whole cannot be an answer to it
             }
         }
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -29,7 +29,7 @@
         /** A request that comes in pieces begins to leave: it cannot be sent again. */
         default void spent() { }
 
-        /** The first of an answer has come, whether or not that is good. */
+        /** The head of an answer has come, where a protocol tells; what goes ahead of an answer is none. */
         default void answering() { }
 
         /** An answer that comes in pieces has begun; its result is told when it has ended. */
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -171,6 +171,7 @@
             if (status < 200) {
                 return status != 101; // nobody asked for another protocol
             }
+            attempt.answering();
             // Guards against a body that nobody will read: one that is too long is not waited for.
             boolean may = length == Decoders.CHUNKED || length == Decoders.NO_LENGTH
                 || length >= 0 && length <= (status == 200 ? LARGE_MAX : BODY_MAX);
--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -14,9 +14,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bodies that are never held whole, over loopback sockets: read and written slowly, broken off, cut anywhere. */
 class LargeBodiesTest {
@@ -175,14 +178,16 @@
     }
 
     /** It never ran, for its last byte never left: the caller hears that trying again is harmless. */
-    @Test
-    void anUploadWhoseServerDiesInTheMiddleIsRefused() throws Exception {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anUploadWhoseServerDiesInTheMiddleIsRefused(boolean chunked) throws Exception {
         Peer.Script dead = (message, socket) -> { };
         Peer server = stage.server(dead);
         stage.start();
         Socket socket = stage.dial();
         String head = stage.request("order", 8000, "");
-        Peer.write(socket, head.replace("Content-Length: 0", "Content-Length: " + 4 * MIB));
+        Peer.write(socket, head.replace("Content-Length: 0", chunked ? "Transfer-Encoding: chunked"
+            : "Content-Length: " + 4 * MIB) + (chunked ? "400000\r\n" : ""));
         write(socket, new byte[200_000]);
         Stage.await(() -> !server.sockets.isEmpty());
         Thread.sleep(200);
@@ -212,6 +217,29 @@
         assertEquals(0, server.requests.size());
     }
 
+    /** The module hears of the time to the answer's head: neither what goes ahead of it counts nor its body's writing. */
+    @Test
+    void theTimeToldIsThatToTheAnswersHead() throws Exception {
+        stage.server((message, socket) -> {
+            Peer.write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+            Thread.sleep(message.target().startsWith("/order") ? 400 : 0);
+            Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo");
+            Thread.sleep(message.target().startsWith("/order") ? 0 : 400);
+            Peer.write(socket, "dy");
+        });
+        List<Long> spent = new CopyOnWriteArrayList<>();
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("outcome")) {
+                spent.add((Long) details[5]);
+            }
+        }));
+        assertEquals("body", stage.call("order").text());
+        assertEquals("body", stage.call("lookup").text());
+        Stage.await(() -> spent.size() == 2);
+        assertTrue(spent.get(0) >= 350_000, spent + " us");
+        assertTrue(spent.get(1) < 350_000, spent + " us");
+    }
+
     @Test
     void whatIsLongerThanAnyBodyIsTurnedAway() throws Exception {
         stage.server((message, socket) -> Peer.answer(socket, 200, "", ""));
--- a/src/test/java/gatefront/agent/OperationTest.java
+++ b/src/test/java/gatefront/agent/OperationTest.java
@@ -4,19 +4,23 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import gatefront.config.Config;
+import gatefront.upgrade.Neighbour;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +32,7 @@
     private Path shared;
     private Stage stage;
     private final List<Agent> agents = new ArrayList<>();
+    private final List<Socket> waiting = new ArrayList<>();
 
     @BeforeEach
     void set() throws IOException {
@@ -168,6 +173,207 @@
         assertTrue(calls(second) > 0);
     }
 
+    /** The system takes on two connections for a server that accepts none; those after them wait to come up. */
+    private ServerSocket takesNone() throws IOException {
+        ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        for (int i = 0; i < 2; i++) {
+            waiting.add(new Socket(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+        }
+        return server;
+    }
+
+    @Test
+    void anAttemptThatWaitsForItsConnectionIsNotSentAfterABan() throws Exception {
+        stage.settings("caps", caps -> caps.put("dial-timeout-us", 5_000_000));
+        ServerSocket first = takesNone();
+        ((ArrayNode) stage.config.get("known").get("endpoints")).add(Stage.endpoint(1, "127.0.0.1:"
+            + first.getLocalPort(), "Ready"));
+        Peer second = stage.peer(answers("b"));
+        start();
+        Socket caller = stage.dial();
+        long begin = System.nanoTime();
+        Peer.write(caller, stage.request("order", 8000, "body"));
+        Stage.await(() -> stats().get("active") == 1);
+        stage.news.add(Stage.delta(1, Stage.endpoint(2, second.address(), "Ready")));
+        Stage.await(() -> stats().get("pool_size") == 2);
+        assertEquals(200, door("POST", "/backends/s-1/maint").status());
+        assertEquals("b", Peer.read(caller.getInputStream()).text());
+        assertTrue(System.nanoTime() - begin < 4_000_000_000L, "it did not wait for its time to connect");
+        for (Socket each : waiting) {
+            each.close();
+        }
+        first.setSoTimeout(1500); // a connection attempt that was left would come up when there is room
+        try {
+            for (int i = 0; i < 3; i++) {
+                Socket came = first.accept();
+                came.setSoTimeout(300);
+                assertEquals(-1, came.getInputStream().read(), "nothing is written there");
+            }
+        } catch (SocketTimeoutException e) {
+            assertTrue(true);
+        }
+        first.close();
+    }
+
+    @Test
+    void aRepeatThatFallsDueAfterABanDoesNotGoThere() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer.Script fails = (message, socket) -> {
+            go.await();
+            Peer.answer(socket, 500, "", "");
+        };
+        stage.server(fails);
+        stage.server(fails);
+        start();
+        Socket caller = stage.dial();
+        Peer.write(caller, stage.request("lookup", 3000, ""));
+        Stage.await(() -> calls(stage.servers.get(0)) + calls(stage.servers.get(1)) == 1);
+        int other = calls(stage.servers.get(0)) == 1 ? 1 : 0;
+        assertEquals(200, door("POST", "/backends/s-" + (other + 1) + "/maint").status());
+        go.countDown();
+        assertTrue(Peer.read(caller.getInputStream()).status() >= 500);
+        assertEquals(0, calls(stage.servers.get(other)), "the repeat");
+    }
+
+    /** A ban, and a file that is not whole, while two processes are there. */
+    @Test
+    void aBanAndABrokenFileDuringAnUpgradeBindBothProcesses(@TempDir Path files) throws Exception {
+        stage.server(answers("a"));
+        stage.server(answers("b"));
+        stage.config.put("listen", "127.0.0.1:" + freePort());
+        start();
+        Agent old = stage.agent;
+        start();
+        door(old, "POST", "/backends/s-2/maint");
+        Path file = files.resolve("config.json");
+        String whole = stage.config.toString();
+        Files.writeString(file, whole.substring(0, whole.length() / 2));
+        for (Agent each : agents) {
+            each.reload(file, null);
+            Stage.await(() -> door(each, "GET", "/stats").text().contains("config_rejected=1\n"));
+            Stage.await(() -> door(each, "GET", "/stats").text().contains("pool_ejected=1\n"));
+            assertTrue(door(each, "GET", "/stats").text().contains("config_applied=0\n"));
+        }
+        Peer.daemon(old::stop);
+        old.awaitEnd();
+        for (int i = 0; i < 10; i++) {
+            assertEquals("a", stage.call("lookup").text());
+        }
+        assertEquals(1, stats().get("pool_ejected"));
+    }
+
+    /** It was told to end, and is killed before it has answered what it holds. */
+    @Test
+    void theNewProcessServesOnWhenTheOldOneIsKilledInMidHandover(@TempDir Path files) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        stage.server((message, socket) -> {
+            if (message.target().startsWith("/order")) {
+                go.await();
+            }
+            Peer.answer(socket, 200, "", "a");
+        });
+        stage.server(answers("b"));
+        int port = freePort();
+        int management = freePort();
+        stage.config.put("listen", "127.0.0.1:" + port);
+        Path file = files.resolve("config.json");
+        Files.writeString(file, stage.config.toString());
+        ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx48m", "-cp", System.getProperty("java.class.path"), "gatefront.cli.Main", "serve")
+            .redirectErrorStream(true).redirectOutput(files.resolve("log").toFile());
+        program.environment().put("RELAY_CONFIG", file.toString());
+        program.environment().put("RELAY_MANAGEMENT", "127.0.0.1:" + management);
+        program.environment().put("TMPDIR", shared.toString());
+        Process old = program.start();
+        try {
+            Stage.await(() -> health(management) == 200);
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), management)) {
+                Peer.write(caller, "POST /backends/s-2/maint HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+                assertEquals(200, Peer.read(caller.getInputStream()).status());
+            }
+            start();
+            assertEquals(1, stats().get("pool_ejected"));
+            old.destroy();
+            Stage.await(() -> health(management) != 200);
+            old.destroyForcibly().waitFor();
+            for (int i = 0; i < 10; i++) {
+                assertEquals("a", stage.call("lookup").text());
+            }
+            // And it is the one to be taken over from now.
+            Agent second = stage.agent;
+            start();
+            Peer.daemon(second::stop);
+            second.awaitEnd();
+            assertEquals("a", stage.call("lookup").text());
+            assertEquals(1, stats().get("pool_ejected"));
+        } finally {
+            go.countDown();
+            old.destroyForcibly();
+        }
+    }
+
+    private static int health(int management) {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), management)) {
+            Peer.write(caller, "GET /healthcheck HTTP/1.1\r\nHost: a\r\n\r\n");
+            return Peer.read(caller.getInputStream()).status();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** The address is held by something that does not share it. */
+    @Test
+    void aNewProcessThatCannotTakeOverEndsAndLeavesTheOldOneAlone() throws Exception {
+        stage.server(answers("a"));
+        try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Neighbour old = new Neighbour(shared, "old", line -> { });
+            stage.config.put("listen", "127.0.0.1:" + held.getLocalPort());
+            Agent fresh = Agent.start(Config.of(stage.config), shared);
+            fresh.awaitEnd();
+            assertTrue(fresh.failed());
+            fresh.stop(); // as the program's end does
+            assertFalse(old.followed());
+            old.close();
+        }
+    }
+
+    /** Callers at full speed on many connections, old and new ones; staff wait a second at the most. */
+    @Test
+    void theDoorAnswersWhileTheLoopIsFlooded() throws Exception {
+        stage.server(answers("a"));
+        start();
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger served = new AtomicInteger();
+        for (int i = 0; i < 24; i++) {
+            boolean keeps = i % 2 == 0;
+            Peer.daemon(() -> {
+                Socket socket = null;
+                for (int n = 0; !over.get(); n++) {
+                    if (socket == null || !keeps) {
+                        socket = new Socket(InetAddress.getLoopbackAddress(), stage.agent.address().getPort());
+                    }
+                    Peer.write(socket, "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Id: f" + Thread.currentThread().getId()
+                        + "x" + n + "\r\nRequest-Class: lookup\r\nRequest-Timeout-Ms: 3000\r\n\r\n");
+                    String connection = Peer.read(socket.getInputStream()).header("Connection");
+                    served.incrementAndGet();
+                    if (!keeps || "close".equals(connection)) {
+                        socket.close();
+                        socket = null;
+                    }
+                }
+            });
+        }
+        Stage.await(() -> served.get() > 1000);
+        long worst = 0;
+        for (int i = 0; i < 60; i++) {
+            long begin = System.nanoTime();
+            assertEquals(200, door("GET", i % 2 == 0 ? "/stats" : "/healthcheck").status());
+            worst = Math.max(worst, System.nanoTime() - begin);
+        }
+        over.set(true);
+        assertTrue(worst < 1_000_000_000L, worst / 1_000_000 + " ms");
+    }
+
     private static long calls(Peer server) {
         return server.requests.stream().filter(each -> each.target().startsWith("/lookup")).count();
     }
@@ -275,8 +481,9 @@
             assertTrue(e.getMessage().startsWith("cannot listen on"), e.getMessage());
         }
         assertEquals("a", stage.call("lookup").text());
-        assertFalse(stage.agent.ready() && door("GET", "/healthcheck").status() != 200);
-        InetSocketAddress at = stage.agent.address();
-        assertEquals(at.getPort(), Integer.parseInt(stage.config.get("listen").asText().split(":")[1]));
+        assertEquals(200, door("GET", "/healthcheck").status());
+        Neighbour third = new Neighbour(shared, "third", line -> { });
+        assertTrue(third.follows(), "the old one's place is its own");
+        third.close();
     }
 }
--- a/src/test/java/gatefront/agent/SettingsReloadTest.java
+++ b/src/test/java/gatefront/agent/SettingsReloadTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -124,6 +125,30 @@
         assertEquals(200, Peer.read(held.getInputStream()).status());
     }
 
+    /** Replaced by a rename at any moment, it is one file or the other; the last signal ends with the last file. */
+    @Test
+    void aFileReplacedWhileItIsReadIsTakenWholeAndTheLastOneHolds() throws Exception {
+        String[] texts = new String[2];
+        for (int i = 0; i < 2; i++) {
+            ObjectNode copy = stage.config.deepCopy();
+            ((ObjectNode) classes(copy).get(0)).put("name", "class" + i);
+            texts[i] = copy.put("filling", "x".repeat(200_000)).toString();
+        }
+        Files.writeString(file, texts[0]);
+        for (int i = 0; i < 200; i++) {
+            Path fresh = dir.resolve("fresh");
+            Files.writeString(fresh, texts[i % 2]);
+            stage.agent.reload(file, null);
+            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+            stage.agent.reload(file, null);
+        }
+        Stage.await(() -> figure("config_applied") + figure("config_rejected") == 400);
+        assertEquals(0, figure("config_rejected"));
+        assertEquals(400, status("class0"));
+        String get = stage.request("lookup", 8000, "").replace("lookup", "class1");
+        assertEquals(200, Stage.exchange(stage.dial(), get).status());
+    }
+
     @Test
     void aFileThatIsNotWholeChangesNothing() throws Exception {
         String whole = stage.config.toString();
--- a/src/test/java/gatefront/policy/SettingsChangeTest.java
+++ b/src/test/java/gatefront/policy/SettingsChangeTest.java
@@ -64,6 +64,15 @@
         assertEquals(1, hand.sends(id).size());
     }
 
+    @Test
+    void aBanOnTheLastServerOfAZoneSendsWhatComesToTheOthersAtOnce() {
+        Hand hand = new Hand(settings(4, Semantics.UNSAFE)).full(Hand.server(1, 0), Hand.server(2, 1));
+        hand.list(Balancer.ListKind.DELTA, Hand.server(1, 0, Balancer.Phase.DRAINING, 0));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(2, hand.target(hand.request()));
+        }
+    }
+
     /** Where every listed server drains, or is out by hand, waiting brings nothing; where none is listed yet it may. */
     @Test
     void whileEveryServerDrainsWhatComesIsRefusedAtOnce() {
--- /dev/null
+++ b/src/test/java/gatefront/transport/SharedListenerTest.java
@@ -0,0 +1,75 @@
+package gatefront.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A listener on an address that two processes share, and its end. */
+class SharedListenerTest {
+    private final List<SocketTransport> transports = new ArrayList<>();
+    private final List<Channel> accepted = new ArrayList<>();
+
+    private Channel listen(int port) {
+        SocketTransport transport = new SocketTransport();
+        transports.add(transport);
+        return new ServerBootstrap().group(transport.loop()).channelFactory(transport.sharedListeners())
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    accepted.add(ch);
+                }
+            }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).syncUninterruptibly().channel();
+    }
+
+    @AfterEach
+    void strike() {
+        transports.forEach(each -> each.close(() -> { }));
+    }
+
+    @Test
+    void twoListenersShareAnAddress() {
+        Channel first = listen(0);
+        Channel second = listen(((InetSocketAddress) first.localAddress()).getPort());
+        assertEquals(first.localAddress(), second.localAddress());
+    }
+
+    /** Guards against connections that were made and not yet seen being reset with their listener. */
+    @Test
+    void whatTheSystemHasTakenOnIsAcceptedBeforeTheListenerCloses() throws Exception {
+        Channel listener = listen(0);
+        SocketTransport transport = transports.get(0);
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        transport.loop().execute(() -> {
+            busy.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            transport.closeShared(listener);
+        });
+        busy.await();
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < 60; i++) { // more than are accepted in one look
+            callers.add(new Socket(InetAddress.getLoopbackAddress(),
+                ((InetSocketAddress) listener.localAddress()).getPort()));
+        }
+        go.countDown();
+        listener.closeFuture().sync();
+        assertEquals(60, transport.loop().submit(() -> accepted.size()).sync().getNow());
+        for (Socket each : callers) {
+            each.close();
+        }
+    }
+}
