A large answer that ends during the end closes its connection, not 30 s later

Cause, by a test that took 37 s: whether an answer is its connection's last was asked when its head was written; one begun before SIGTERM left a kept connection behind, which held the old process for the 30 s of idle ones. Asked again at its end.

--- a/src/main/java/gatefront/http/HttpFront.java
+++ b/src/main/java/gatefront/http/HttpFront.java
@@ -209,7 +209,8 @@
                     // Not before the caller has taken it: the time that a last answer has does not begin until then.
                     connection.write(LastHttpContent.EMPTY_LAST_CONTENT, 0).addListener(done -> {
                         if (connection.current == Exchange.this) { // else its caller has left meanwhile
-                            connection.answered(Exchange.this, (ChannelFuture) done, last);
+                            // Its head was written long ago, and the end may have come near since.
+                            connection.answered(Exchange.this, (ChannelFuture) done, last || last());
                         }
                     });
                 }
--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -217,7 +217,7 @@
         assertEquals(0, server.requests.size());
     }
 
-    /** The module hears of the time to the answer's head: neither what goes ahead of it counts nor its body's writing. */
+    /** The module hears of the time to the answer's head: what goes ahead of it does not count, nor its writing. */
     @Test
     void theTimeToldIsThatToTheAnswersHead() throws Exception {
         stage.server((message, socket) -> {
--- a/src/test/java/gatefront/agent/OperationTest.java
+++ b/src/test/java/gatefront/agent/OperationTest.java
@@ -461,8 +461,10 @@
         Peer.daemon(second::stop);
         assertEquals("a", stage.call("lookup").text());
         assertEquals(1_500_000, Peer.read(slow.getInputStream()).body().length);
+        long begin = System.nanoTime();
         first.awaitEnd();
         second.awaitEnd();
+        assertTrue(System.nanoTime() - begin < 5_000_000_000L, "both end once their last answer has been read");
         assertEquals("a", stage.call("lookup").text());
     }
 
