One server for staff's calls, one flag for last answers, one place for buffers

Door and status page extend CallServer instead of handing everything on; the front's handover and drain shared a meaning and now a flag; what a connection reads and writes ahead stood twice; the pool's size is asked of the engine, which owns it. Tests: the three of changed classes and the two of etcd's passwords share their beginnings. Behaviour and assertions kept.

--- a/src/main/java/gatefront/agent/Operations.java
+++ b/src/main/java/gatefront/agent/Operations.java
@@ -179,7 +179,7 @@
         }
         figures.put("tries", tally.tries());
         figures.put("active", tally.active());
-        figures.put("pool_size", (long) bans.listed());
+        figures.put("pool_size", (long) engine.listed());
         figures.put("pool_ejected", (long) bans.out() + engine.avoided());
         figures.put("config_applied", applied);
         figures.put("config_rejected", rejected);
--- a/src/main/java/gatefront/connection/AcceptingFront.java
+++ b/src/main/java/gatefront/connection/AcceptingFront.java
@@ -7,7 +7,6 @@
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -15,7 +14,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
@@ -58,8 +56,6 @@
     /** From this part of the room on those kept are closed sooner, and each answer is a connection's last. */
     private static final double PRESSED = 0.6;
     private static final long SWEEP_MS = 100;
-    /** Read at once at the most: pieces that wait keep the whole of what they were read with. */
-    private static final int READ_MOST = 16 << 10;
     private final Transport transport;
     private final InetSocketAddress listen;
     private final int connectionsMost;
@@ -73,8 +69,8 @@
     private final Account requests;
     private final Account answers;
     private boolean leaving;
-    private boolean draining;
-    private boolean handedOver;
+    /** Whether each answer is to be its connection's last, for the end is near. */
+    private boolean closing;
 
     /**
      * Listens to nobody yet; {@link #listen()} begins.
@@ -101,8 +97,8 @@
         bootstrap = new ServerBootstrap().group(transport.loop()).channelFactory(transport.sharedListeners())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(READ_MOST, 2 * READ_MOST))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.MARKS)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
@@ -140,13 +136,13 @@
     @Override
     public void handOver() {
         leaving = true;
-        handedOver = true;
+        closing = true;
         transport.closeShared(server);
     }
 
     @Override
     public void drain() {
-        draining = true;
+        closing = true;
         List.copyOf(at.get(State.SILENT)).forEach(Connection::close);
         List.copyOf(at.get(State.KEPT)).forEach(Connection::close);
     }
@@ -170,7 +166,7 @@
 
     /** Whether each answer is to be its connection's last: at the end, and while room is scarce. */
     protected final boolean closing() {
-        return draining || handedOver || pressed();
+        return closing || pressed();
     }
 
     /**
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -13,7 +13,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -21,7 +20,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -54,8 +52,6 @@
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
     /** An answer that is being passed on and of which nothing comes for so long is over. */
     private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(4);
-    /** Read at once at the most: pieces that wait keep the whole of what they were read with. */
-    private static final int READ_MOST = 16 << 10;
 
     private final Transport transport;
     private final EventLoop loop;
@@ -110,8 +106,8 @@
         this.bootstrap = new Bootstrap().group(loop).channelFactory(transport.dialers())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutMicros / 1000))
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
-            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(READ_MOST, 2 * READ_MOST))
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.MARKS)
             .disableResolver(); // addresses are literal; the usual resolvers would keep the loop for ever
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
     }
--- a/src/main/java/gatefront/management/Door.java
+++ b/src/main/java/gatefront/management/Door.java
@@ -2,9 +2,7 @@
 
 import gatefront.membership.Bans;
 import gatefront.status.CallServer;
-import gatefront.status.CallServer.Reply;
 import gatefront.transport.Transport;
-import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -16,7 +14,7 @@
  * The operators' door: {@code GET /healthcheck}, {@code GET /stats}, {@code POST /backends/ID/maint} and
  * {@code POST /backends/ID/ready}. A call that is not one of these changes nothing.
  */
-public final class Door {
+public final class Door extends CallServer {
     private static final int CONNECTIONS_MOST = 24;
     private static final long PATIENCE_MS = 5_000;
     private static final String BACKENDS = "/backends/";
@@ -29,35 +27,20 @@
         /** The figures, in their order. */
         Map<String, Long> figures();
 
-        /** Takes a backend out, or puts it back; it holds when this returns. */
+        /** Takes a backend out, which holds when this returns, or puts it back, which does soon after. */
         Bans.Answer hand(String backend, boolean out);
     }
 
     private final Agent agent;
-    private final CallServer server;
 
     /** Listens to nobody yet. */
     public Door(Transport transport, InetSocketAddress listen, Agent agent) {
+        super(transport, listen, CONNECTIONS_MOST, PATIENCE_MS);
         this.agent = agent;
-        this.server = new CallServer(transport, listen, CONNECTIONS_MOST, PATIENCE_MS, this::call);
     }
 
-    /** Begins to listen; the future tells whether it could. */
-    public ChannelFuture listen() {
-        return server.listen();
-    }
-
-    /** Where it listens. */
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    /** Ends. */
-    public void close() {
-        server.close();
-    }
-
-    private Reply call(FullHttpRequest request) {
+    @Override
+    protected Reply call(FullHttpRequest request) {
         String uri = request.uri();
         int end = uri.indexOf('?');
         String path = end < 0 ? uri : uri.substring(0, end);
--- a/src/main/java/gatefront/membership/Bans.java
+++ b/src/main/java/gatefront/membership/Bans.java
@@ -120,11 +120,6 @@
         return out;
     }
 
-    /** How many servers are listed. */
-    public int listed() {
-        return listed.size();
-    }
-
     private void forget(long now) {
         entries.entrySet().removeIf(each -> !each.getValue().out && !listed.containsKey(each.getKey())
             && now - each.getValue().at > KEPT);
--- a/src/main/java/gatefront/status/CallServer.java
+++ b/src/main/java/gatefront/status/CallServer.java
@@ -24,10 +24,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 
 /** HTTP/1.1 for staff: one call a connection, a bound on connections, a time for a call that does not end. */
-public final class CallServer {
+public abstract class CallServer {
     private static final int BODY_MAX = 1 << 10;
 
     /** An answer: its status, the type of its text, the text. */
@@ -42,7 +41,6 @@
     private final InetSocketAddress listen;
     private final int connectionsMost;
     private final long patienceMs;
-    private final Function<FullHttpRequest, Reply> calls;
     /** The oldest first. Each is removed when it closes: after its answer or its time, or for a newer one. */
     private final Set<Channel> open = new LinkedHashSet<>();
     private Channel server;
@@ -54,19 +52,19 @@
      * @param listen where
      * @param connectionsMost open at the most; the oldest then ends, for its caller has had the most time
      * @param patienceMs a call not ended by then is cut off
-     * @param calls answers a call that could be read
      */
-    public CallServer(Transport transport, InetSocketAddress listen, int connectionsMost, long patienceMs,
-                      Function<FullHttpRequest, Reply> calls) {
+    protected CallServer(Transport transport, InetSocketAddress listen, int connectionsMost, long patienceMs) {
         this.transport = transport;
         this.listen = listen;
         this.connectionsMost = connectionsMost;
         this.patienceMs = patienceMs;
-        this.calls = calls;
     }
 
+    /** Answers a call that could be read; on the loop. */
+    protected abstract Reply call(FullHttpRequest request);
+
     /** Begins to listen; the future tells whether it could. */
-    public ChannelFuture listen() {
+    public final ChannelFuture listen() {
         ChannelFuture bound = new ServerBootstrap().group(transport.loop()).channelFactory(transport.listeners())
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -79,12 +77,12 @@
     }
 
     /** Where it listens. */
-    public InetSocketAddress address() {
+    public final InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
     }
 
     /** Ends. */
-    public void close() {
+    public final void close() {
         server.close();
         List.copyOf(open).forEach(Channel::close);
     }
@@ -118,7 +116,7 @@
             } else if (unread != null) {
                 reply = Reply.plain(400, "not to be read\n");
             } else {
-                reply = calls.apply(request);
+                reply = call(request);
             }
             byte[] body = reply.text().getBytes(StandardCharsets.UTF_8);
             var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- a/src/test/java/gatefront/policy/SettingsChangeTest.java
+++ b/src/test/java/gatefront/policy/SettingsChangeTest.java
@@ -22,37 +22,30 @@
         return Hand.settings(types, new Permits(attempts, false, true, true, false, Hand.SECOND), 2, 2);
     }
 
+    /** One request comes before a change and one after it, both fail: how many attempts each has had then. */
+    private static List<Integer> attempts(Settings before, Settings after) {
+        Hand hand = new Hand(before).full(Hand.server(1, 0), Hand.server(2, 0));
+        long first = hand.request();
+        hand.balancer.settings(hand.now, after);
+        long second = hand.request();
+        hand.end(first, 0, Outcome.ERROR, 10_000);
+        hand.end(second, 0, Outcome.ERROR, 10_000);
+        return List.of(hand.sends(first).size(), hand.sends(second).size());
+    }
+
     @Test
     void aKeyedRequestWhoseClassTurnsUnsafeMayStillGoAgainAndTheNextMayNot() {
-        Hand hand = new Hand(settings(4, Semantics.KEYED)).full(Hand.server(1, 0), Hand.server(2, 0));
-        long before = hand.request();
-        hand.balancer.settings(hand.now, settings(4, Semantics.UNSAFE));
-        long after = hand.request();
-        hand.end(before, 0, Outcome.ERROR, 10_000);
-        hand.end(after, 0, Outcome.ERROR, 10_000);
-        assertEquals(2, hand.sends(before).size());
-        assertEquals(1, hand.sends(after).size());
+        assertEquals(List.of(2, 1), attempts(settings(4, Semantics.KEYED), settings(4, Semantics.UNSAFE)));
     }
 
     @Test
     void anUnsafeRequestWhoseClassTurnsSafeDoesNotGoAgain() {
-        Hand hand = new Hand(settings(4, Semantics.UNSAFE)).full(Hand.server(1, 0), Hand.server(2, 0));
-        long before = hand.request();
-        hand.balancer.settings(hand.now, settings(4, Semantics.SAFE));
-        hand.end(before, 0, Outcome.ERROR, 10_000);
-        assertEquals(1, hand.sends(before).size());
+        assertEquals(1, attempts(settings(4, Semantics.UNSAFE), settings(4, Semantics.SAFE)).get(0));
     }
 
     @Test
     void fewerAttemptsHoldForWhatComesFromThenOn() {
-        Hand hand = new Hand(settings(4, Semantics.SAFE)).full(Hand.server(1, 0), Hand.server(2, 0));
-        long before = hand.request();
-        hand.balancer.settings(hand.now, settings(1, Semantics.SAFE));
-        long after = hand.request();
-        hand.end(before, 0, Outcome.ERROR, 10_000);
-        hand.end(after, 0, Outcome.ERROR, 10_000);
-        assertEquals(2, hand.sends(before).size());
-        assertEquals(1, hand.sends(after).size());
+        assertEquals(List.of(2, 1), attempts(settings(4, Semantics.SAFE), settings(1, Semantics.SAFE)));
     }
 
     @Test
--- a/src/test/java/gatefront/registry/EtcdCallsTest.java
+++ b/src/test/java/gatefront/registry/EtcdCallsTest.java
@@ -30,6 +30,14 @@
             null, null, RegistrySettings.Reads.USUAL, bounds(), null);
     }
 
+    /** From now on members want this password, and give a token for it. */
+    private void letIn(String wanted) {
+        members.forEach(each -> {
+            ((EtcdStand) each).password(wanted);
+            each.secret("token-1");
+        });
+    }
+
     private EtcdStand etcd(int i) {
         return (EtcdStand) members.get(i);
     }
@@ -89,10 +97,7 @@
 
     @Test
     void aTokenThatExpiresIsRenewedAndNothingIsMissed() throws Exception {
-        members.forEach(each -> {
-            ((EtcdStand) each).password("clave");
-            each.secret("token-1");
-        });
+        letIn("clave");
         password = "clave";
         put("nodos/a", "1");
         follow();
@@ -109,10 +114,7 @@
 
     @Test
     void aWrongPasswordIsSaidAndNotTriedWithoutEnd() throws Exception {
-        members.forEach(each -> {
-            ((EtcdStand) each).password("clave");
-            each.secret("token-1");
-        });
+        letIn("clave");
         password = "otra";
         put("nodos/a", "1");
         follow();
