Tests of a failed start and of broken files fail without what they guard

Now the old process told to end must serve on as before a restart, and the module must hear of no change.

--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -18,10 +18,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bodies that are never held whole, over loopback sockets: read and written slowly, broken off, cut anywhere. */
+@Timeout(60)
 class LargeBodiesTest {
     private static final int MIB = 1 << 20;
     private Stage stage;
--- a/src/test/java/gatefront/agent/OperationTest.java
+++ b/src/test/java/gatefront/agent/OperationTest.java
@@ -24,9 +24,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Daily operation over loopback sockets: the door, its figures, servers out by hand, one process after the other. */
+@Timeout(60)
 class OperationTest {
     @TempDir
     private Path shared;
@@ -484,8 +486,11 @@
         }
         assertEquals("a", stage.call("lookup").text());
         assertEquals(200, door("GET", "/healthcheck").status());
-        Neighbour third = new Neighbour(shared, "third", line -> { });
-        assertTrue(third.follows(), "the old one's place is its own");
-        third.close();
+        // Nor does it think that somebody takes over: told to end it serves on, as before a restart.
+        Socket kept = stage.dial();
+        assertEquals("a", Stage.exchange(kept, stage.request("lookup", 8000, "")).text());
+        Peer.daemon(stage.agent::stop);
+        Stage.await(() -> door("GET", "/healthcheck").status() == 503);
+        assertEquals(null, Stage.exchange(kept, stage.request("lookup", 8000, "")).header("Connection"));
     }
 }
--- a/src/test/java/gatefront/agent/SettingsReloadTest.java
+++ b/src/test/java/gatefront/agent/SettingsReloadTest.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import gatefront.config.Config;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -16,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,6 +29,8 @@
     private Stage stage;
     private Path file;
     private final CountDownLatch go = new CountDownLatch(1);
+    /** How often the module was told of other settings. */
+    private final AtomicInteger told = new AtomicInteger();
 
     @BeforeEach
     void set() throws IOException {
@@ -41,8 +43,11 @@
             }
             Peer.answer(socket, 200, "", "served");
         });
-        stage.agent = Agent.start(Config.of(stage.config), (Path) null);
-        Stage.await(() -> stage.agent.ready());
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("settings")) {
+                told.incrementAndGet();
+            }
+        }));
     }
 
     @AfterEach
@@ -103,6 +108,7 @@
         assertEquals(400, status("order"));
         assertEquals(400, status("extra"));
         assertEquals(200, stage.call("lookup").status());
+        assertEquals(2, told.get());
         assertEquals(2, figure("ok.order"), "counts of a dropped class stay");
         assertEquals(1, figure("ok.extra"));
         assertEquals(1, figure("ok.lookup"));
@@ -183,6 +189,7 @@
             assertEquals(0, figure("config_applied"), each);
         }
         assertTrue(figure("config_rejected") == broken.size());
+        assertEquals(0, told.get(), "nothing is half taken");
         assertEquals(200, stage.call("lookup").status());
         assertEquals(400, status("other"));
     }
