--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -127,15 +127,15 @@
     private double spill;
     /** By kind of server, what {@link Target#stretch} is for one. */
     private final Map<Integer, Double> kindStretch = new HashMap<>();
-    /** The unhurried time of the requests that came, as a sum that fades. */
-    private double busy;
-    private long busyAt;
     private final long bornAt;
-    /** The first tries that came, as a sum that fades. */
+    /** The unhurried time of the requests that came, and the first tries that did, as sums that fade. */
+    private double busy;
     private double came;
-    private long cameAt;
-    /** The listed weights of those that take requests, together. */
+    private long fadedAt;
+    /** The listed weights of those that take requests, together; how many those are, and in the own zone. */
     private double weights;
+    private int takers;
+    private int here;
     /** How long cold servers take, as a part of what the settings make expect at the worst. */
     private double coldStretch = COLD_HOPE;
     private long rankedAt;
@@ -192,8 +192,8 @@
         actions.timer(req.token, Math.max(0, endAt - now));
         state.meanCost += (state.meanCost == 0 ? 1 : BLEND / 2) * (request.cost() - state.meanCost);
         state.came++;
-        busy += state.unhurried;
         fade(now);
+        busy += state.unhurried;
         came += request.repeated() || spent > 0 ? 0 : 1;
         retries = Math.min(RETRY_BANK, retries + RETRY_EARNED);
         if (late && (request.repeated() || waiting()) || weights == 0 && !listed.isEmpty()) { // all drain: at once
@@ -546,18 +546,15 @@
         int j = random.nextInt(n - 1);
         Target a = scratch.get(i);
         Target b = scratch.get(j < i ? j : j + 1);
-        if (a.inFlight != b.inFlight) {
-            return a.inFlight < b.inFlight ? a : b;
-        }
-        return settings.warmKeys() || stretch(a, now) <= stretch(b, now) ? a : b;
+        return (a.inFlight != b.inFlight ? a.inFlight < b.inFlight
+            : settings.warmKeys() || stretch(a, now) <= stretch(b, now)) ? a : b;
     }
 
     // From how many servers an agent draws: few while it sends little. Danger: many light agents that each use every
     // server fill the connection tables, pay a handshake for nearly every request, and see none enough to judge it.
     // What is out does not count: it grows in a jam, and the jam with it.
     private int spread(int least, long now) {
-        busy *= Math.exp(-(double) (now - busyAt) / RATE_PERIOD);
-        busyAt = now;
+        fade(now);
         return Math.max(subset(least), (int) (SUBSET_SPREAD * busy / RATE_PERIOD));
     }
 
@@ -608,10 +605,8 @@
             req.state.served++;
         } else if (outcome == Outcome.TIMEOUT) {
             learnCold(req, target, spent, coldStretch, now); // it would have taken longer yet
-        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
-            if (target.failuresInRow > 0) { // one alone may be a full table of connections
-                broke(target, now);
-            }
+        } else if (target.failuresInRow > 0 && (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET)) {
+            broke(target, now); // one alone may be a full table of connections
         }
         boolean fault = outcome == Outcome.ERROR || outcome == Outcome.TIMEOUT;
         boolean alone = fault && othersAnswer(target, own, now);
@@ -651,8 +646,7 @@
     private double report(Target target, double[] load, long now) {
         int at = settings.loadFields().indexOf(LoadField.QUEUED);
         double queued = at < 0 || load.length <= at ? -1 : load[at] / target.weight();
-        if (queued >= 0 && cold(target, now)) {
-            // What it keeps up with is less than it can do; the report is late.
+        if (queued >= 0 && cold(target, now)) { // what it keeps up with is less than it can do; the report is late
             target.coldRoom = queued < COLD_QUEUE ? Math.min(2 * coldRoom(), target.coldRoom + 0.5)
                 : Math.max(1, 0.7 * target.coldRoom);
         }
@@ -904,10 +898,13 @@
     }
 
     // Requests this agent may send to a cold server now. Danger: all agents together push it over. Each keeps to the
-    // server's part of its own demand, spread over all, times the part surely warm, and more the better it keeps up
-    // by its reports. What is answered elsewhere says nothing to a new agent, nor where a whole zone is cold.
+    // server's part of its own demand, spread over those it draws from (over all, large fleets would leave cold servers
+    // idle), times the part surely warm, and more the better it keeps up by its reports. What is answered elsewhere
+    // says nothing to a new agent, nor where a whole zone is cold.
     private double coldBudget(Target target, long now) {
-        double perSecond = demand(now) * target.weight() / weights * surely(target, now) * target.coldRoom;
+        int drawn = Math.min(here, spread(SUBSET_LEAST, now)) + Math.min(takers - here, spread(SUBSET_FAR, now));
+        double part = target.weight() / weights * (settings.warmKeys() ? 1 : (double) takers / drawn);
+        double perSecond = demand(now) * part * surely(target, now) * target.coldRoom;
         double most = 1 + perSecond * COLD_BURST * settings.obligations().overloadTime() / SECOND;
         target.coldTokens = Math.min(most, target.coldTokens + perSecond * (now - target.coldAt) / SECOND);
         target.coldAt = now;
@@ -922,8 +919,10 @@
     }
 
     private void fade(long now) {
-        came *= Math.exp(-(double) (now - cameAt) / RATE_PERIOD);
-        cameAt = now;
+        double left = Math.exp(-(double) (now - fadedAt) / RATE_PERIOD);
+        busy *= left;
+        came *= left;
+        fadedAt = now;
     }
 
     // ---- Server list ----
@@ -938,9 +937,7 @@
             }
             return;
         }
-        if (kind != ListKind.CACHED) {
-            askDelay = ASK_BACKOFF;
-        }
+        askDelay = kind == ListKind.CACHED ? askDelay : ASK_BACKOFF;
         if (kind != ListKind.DELTA) {
             var complete = entries.stream().map(Server::id).collect(Collectors.toSet());
             List.copyOf(listed).stream().filter(each -> !complete.contains(each.id)).forEach(this::remove);
@@ -950,7 +947,10 @@
         }
         // By this agent's own hash: its first few are its subset, and no two agents have the same.
         listed.sort(Comparator.comparingLong(each -> mix(each.id ^ mix(settings.agent()))));
-        weights = listed.stream().filter(each -> each.ready).mapToDouble(Target::weight).sum();
+        List<Target> ready = listed.stream().filter(each -> each.ready).toList();
+        weights = ready.stream().mapToDouble(Target::weight).sum();
+        takers = ready.size();
+        here = (int) ready.stream().filter(each -> each.listed.zone() == settings.zone()).count();
         // So many agents have a server in their subset; reckoned once all are listed.
         double part = Math.min(1, (double) subset(SUBSET_LEAST) / Math.max(1, listed.size()));
         for (Target target : listed) {
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -151,8 +151,8 @@
         s.putObject("objective-mix").put("whole", 0.45).put("worst-class", 0.3).put("worst-tenant", 0.1)
             .put("worst-window", 0.15);
         s.putObject("obligations").put("answer-slack-us", micros(plan.rules().slackMs()))
-            .put("ask-within-us", 10_000_000).put("cold-from", nodos.coldFrom())
-            .put("cold-us", micros(1000 * nodos.coldSeconds())).put("fall-multiple", plan.rules().fallMultiple())
+            .put("ask-within-us", 10_000_000).put("cold-from", nodos.coldFrom().low())
+            .put("cold-us", micros(1000 * nodos.coldSeconds().high())).put("fall-multiple", plan.rules().fallMultiple())
             .put("overload-for-us", micros(1000 * plan.rules().fallSeconds()))
             .put("stop-sending-within-us", micros(plan.rules().drainMs()));
         ArrayNode tenants = s.putArray("realms");
--- a/src/main/java/gatefront/rehearsal/Timetable.java
+++ b/src/main/java/gatefront/rehearsal/Timetable.java
@@ -87,6 +87,7 @@
             case SLOW -> nodo.slow(trouble.size());
             case FAIL -> nodo.failing(trouble.size());
             case TAKEN -> take(trouble, nodo, true);
+            case SUCCEED -> succeed(trouble, nodo);
             case BREAK_OFF -> nodo.breakOff(trouble.size());
             case DRAIN, LEAVE -> {
                 if (nodo.up()) {
@@ -111,6 +112,21 @@
         }
     }
 
+    /** A release as careful staff do it: the new one is there before the old one is told to drain. */
+    private void succeed(Cast.Trouble trouble, NodoStand nodo) {
+        if (!nodo.up()) {
+            return;
+        }
+        NodoStand fresh = day.addNodo(nodo.spec());
+        fresh.start(true);
+        day.padron.learnsStart(fresh);
+        day.at(day.now() + trouble.lasts() / 3, () -> {
+            if (nodo.up()) {
+                day.padron.learnsStatus(nodo, Padron.Status.TERMINATING);
+            }
+        });
+    }
+
     private void take(Cast.Trouble trouble, NodoStand nodo, boolean on) {
         if (day.now() < opensAt + trouble.until()) {
             nodo.taken(on ? trouble.size() : 0);
@@ -135,7 +151,7 @@
                     day.padron.learnsStatus(nodo, Padron.Status.READY);
                 }
             }
-            case LEAVE -> {
+            case LEAVE, SUCCEED -> {
                 if (nodo.up()) {
                     nodo.kill();
                     nodo.leaves();
--- a/src/main/java/gatefront/rehearsal/plan/Fault.java
+++ b/src/main/java/gatefront/rehearsal/plan/Fault.java
@@ -55,6 +55,8 @@
         CUT_OFF(Whom.NODOS, false),
         /** Another nodo starts cold at its address, under a new name. */
         REPLACE(Whom.NODOS, false),
+        /** A successor starts cold on a machine of its own; the old one drains after a third of the time. */
+        SUCCEED(Whom.NODOS, false),
         /** The part of the answers breaks off in the middle. */
         BREAK_OFF(Whom.NODOS, true),
         /** So many times the usual traffic. */
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -21,7 +21,7 @@
 public final class PlanReader {
     /** The plans that come with the jar. */
     public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large", "fleet-herd",
-        "fleet-zone", "fleet-join", "registry", "soak");
+        "fleet-zone", "fleet-join", "mass-join", "registry", "soak");
     /** What may be spoken between callers, agents and nodos. */
     public static final List<String> PROTOCOLS = List.of("http", "framed-binary", "framed-compact", "unframed-binary",
         "unframed-compact");
@@ -144,7 +144,8 @@
         distinct(t, "kinds", kinds.stream().map(Plan.Machine::name).toList());
         return new Plan.Nodos(t.whole("count", 14, 1, 10_000), t.range("bloque", new Range(6, 10), 1, 10_000),
             t.range("limited", new Range(0, 0), 0, 1), t.range("limit", new Range(0.6, 0.6), 0.01, 1),
-            t.number("cold_from", 0.13, 0.01, 1), t.number("cold_s", 24.0, 0.1, 3600),
+            t.range("cold_from", new Range(0.13, 0.13), 0.01, 1),
+            t.range("cold_s", new Range(24, 24), 0.1, 3600),
             t.range("report_ms", new Range(330, 980), 1, 60_000), t.number("noise", 0.1, 0, 1),
             t.range("probe_ms", new Range(0.51, 1), 0, 1000), t.range("connection_ms", new Range(1, 1), 0, 1000),
             t.whole("connections", 200, 1, 1 << 20), t.number("idle_s", 60.0, 0.1, 3600), kinds);
--- a/src/main/java/gatefront/rehearsal/world/NodoModel.java
+++ b/src/main/java/gatefront/rehearsal/world/NodoModel.java
@@ -32,13 +32,21 @@
      * @param room requests waiting at the most
      * @param thrash efficiency lost for each request held a core beyond {@code thrashAt}
      * @param thrashAt requests held a core from which on holding more costs efficiency
-     * @param coldFrom part of the capacity that a process has when it starts
-     * @param coldMicros time until it has the whole
+     * @param cold how it starts
+     * @param stated how it starts at the worst, by the figures that all are told
      * @param fallMultiple a cold process falls over when sent more than this multiple of its capacity
      * @param fallMicros for this long
      */
     public record Machine(int cores, double speed, int slots, int room, double thrash, double thrashAt,
-                          double coldFrom, long coldMicros, double fallMultiple, long fallMicros) { }
+                          Warmth cold, Warmth stated, double fallMultiple, long fallMicros) { }
+
+    /** The part of the capacity that a process has when it starts, and the time until it has the whole. */
+    public record Warmth(double from, long micros) {
+        /** The part that it has so long after its start. */
+        double after(long age) {
+            return age >= micros ? 1 : from + (1 - from) * ((double) age / micros);
+        }
+    }
 
     /** The end of a request's work; failed ones end without an effect. */
     public record Ended(long job, boolean served) { }
@@ -107,21 +115,22 @@
 
     /** Whether it still warms up. */
     public boolean cold(long now) {
-        return startsCold && now < startedAt + machine.coldMicros;
+        return startsCold && now < startedAt + machine.cold.micros;
     }
 
     /** Work a microsecond that it can do now. */
     public double capacity(long now) {
-        return stated(now) * (1 - taken) / slow;
+        return held(now, machine.cold) * (1 - taken) / slow;
     }
 
-    /** What it could do, holding what it holds, if nothing were wrong with it: what agents can know. */
+    /** What it could do, starting as stated, if nothing were wrong with it: what agents can know. */
     private double stated(long now) {
-        double warmth = 1;
-        if (cold(now)) {
-            double share = (double) (now - startedAt) / machine.coldMicros;
-            warmth = machine.coldFrom + (1 - machine.coldFrom) * share;
-        }
+        return held(now, machine.stated);
+    }
+
+    /** What it can do, holding what it holds, if it warms up like this and nothing is wrong with it. */
+    private double held(long now, Warmth start) {
+        double warmth = cold(now) ? start.after(now - startedAt) : 1;
         double over = Math.max(0, (double) held() / machine.cores - machine.thrashAt);
         return machine.cores * machine.speed * warmth * limit / (1 + machine.thrash * over);
     }
--- a/src/test/java/gatefront/policy/Hand.java
+++ b/src/test/java/gatefront/policy/Hand.java
@@ -70,6 +70,13 @@
             new Prices(0.2, 0.01, 0.05, 0.05, 0.01), new Goal(0.6, 0.2, 0.2, 0), classes, tenants, List.of());
     }
 
+    /** The same for the agent of this number. */
+    static Settings as(int agent, Settings s) {
+        return new Settings(agent, s.agents(), s.zone(), s.zones(), s.tick(), s.askDiscovery(), s.warmKeys(),
+            s.listedWeights(), s.worthByWork(), s.overQuotaWorth(), s.permits(), s.obligations(), s.prices(), s.goal(),
+            s.classes(), s.tenants(), s.loadFields());
+    }
+
     /** The same with other prices, rules on cold servers, and fields that servers report. */
     static Settings with(Settings s, Prices prices, Obligations obligations, Balancer.LoadField... fields) {
         return new Settings(s.agent(), s.agents(), s.zone(), s.zones(), s.tick(), s.askDiscovery(), s.warmKeys(),
