--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -25,28 +25,23 @@
     private static final double PROBE_DEAR = 0.04;
     /** Servers of the own zone that a light agent draws from: two to compare, and as many may fail. */
     private static final int SUBSET_LEAST = 3;
-    /** And of other zones, where its own has no room: two to compare. */
-    private static final int SUBSET_FAR = 2;
+    private static final int SUBSET_FAR = 2; // and of other zones, where its own has no room: two to compare
     /** Agents that must share a server on average, so that the random subsets load it evenly. */
     private static final int SUBSET_SHARERS = 20;
     /** Servers in the subset for each one that this agent's requests would keep busy. */
     private static final double SUBSET_SPREAD = 4;
-    /** Failed probes in a row that make a server Unhealthy; the design's default. */
-    private static final int PROBE_THRESHOLD = 2;
+    private static final int PROBE_THRESHOLD = 2; // failed probes in a row that make a server Unhealthy
     /** The sliding window: long enough to hold a light agent's few requests, short beside an outage. */
     private static final long WINDOW = 10 * SECOND;
     /** Requests in the window before the passive state is judged; a light agent never sees the default 10. */
     private static final int WINDOW_MINIMUM = 5;
-    /** Failure share over which the passive state is Unhealthy; the design's default. */
-    private static final double FAILURE_LIMIT = 0.3;
+    private static final double FAILURE_LIMIT = 0.3; // over which the passive state is Unhealthy; the default
     /** And by how many deviations above the peers' share: what fails everywhere is no server's fault. */
     private static final double SURE = 1;
     /** A server that fails at once rests as if the request had taken its time, doubled up to this often. */
     private static final int REST_DOUBLINGS = 5;
-    /** After this the passive state is Unknown again. */
-    private static final long REACTIVATION = 5 * SECOND;
-    /** Where the limits of all agents together for a server unknown so far start. */
-    private static final double LIMIT_START = 12;
+    private static final long REACTIVATION = 5 * SECOND; // after this the passive state is Unknown again
+    private static final double LIMIT_START = 12; // of all agents together, for a server unknown so far
     /** After a fast answer with the limit half used; after a slow one: even at one slow answer in nine. */
     private static final double LIMIT_UP = 0.2;
     private static final double LIMIT_DOWN = 1.6;
@@ -72,30 +67,28 @@
     private static final double NATURE_MAX = 2;
     /** How long a server is thought to have restarted unless the list says so: the list is seconds late. */
     private static final long SUSPICION = 5 * SECOND;
-    /** A break shorter than this is no restart. */
-    private static final long BREAK_LEAST = SECOND / 2;
-    /** Ticks by which the time that first tries bring may differ. */
-    private static final int SAME_TICKS = 4;
-    /** Requests not served that are known again when they come back. */
-    private static final int UNSERVED_MOST = 1_024;
-    /** Votes for that time at the most; half of them make it sure. */
-    private static final int VOTES_MAX = 20;
-    /** Weight of one new measurement in a running mean. */
-    private static final double BLEND = 0.1;
+    private static final long BREAK_LEAST = SECOND / 2; // a break shorter than this is no restart
+    private static final int SAME_TICKS = 4; // ticks by which the time that first tries bring may differ
+    private static final int VOTES_MAX = 20; // votes for that time at the most; half of them make it sure
+    private static final int UNSERVED_MOST = 1_024; // requests not served that are known again when they come back
+    private static final double BLEND = 0.1; // weight of one new measurement in a running mean
     /** Weight of one answer in its server's slowness: a light agent sees few, and they soon say nothing. */
     private static final double STRETCH_BLEND = 0.4;
-    /** A single answer moves a server's slowness by no more than this, for works have heavy tails. */
-    private static final double STRETCH_MAX = 5;
+    private static final double STRETCH_MAX = 5; // the most that one answer moves it by, for works have heavy tails
     /** Further attempts earned by each request: retries can never multiply an overload. */
     private static final double RETRY_EARNED = 0.2;
-    /** What may be saved up of them, enough for one broken server. */
-    private static final double RETRY_BANK = 10;
+    private static final double RETRY_BANK = 10; // what may be saved up of them, enough for one broken server
+    /** Attempts that an answer pays for, where each costs one: so fast may they grow while servers answer in time. */
+    private static final double CREDIT_ANSWER = 1.2;
+    private static final double CREDIT_REQUEST = 0.03; // and each request that comes, so that some are always tried
+    /** What may be saved up: what is out is paid for and not answered yet, the more the more requests come. */
+    private static final double CREDIT_LEAST = 10;
+    private static final double CREDIT_SECONDS = 0.5;
     /** While requests are held, how often they are looked at, in ticks of the host. */
     private static final int SWEEP_TICKS = 4;
     /** How far back the counts of requests come and served look, for ranking the classes. */
     private static final long RANK_PERIOD = 2 * SECOND;
-    /** How far back the measured answer rates look. */
-    private static final long RATE_PERIOD = 5 * SECOND;
+    private static final long RATE_PERIOD = 5 * SECOND; // how far back the measured answer rates look
     /** How fast the share of keys that cross zones at once follows what is seen: some hundred requests. */
     private static final double SPILL_STEP = 0.01;
     /** The part of what the settings make expect at the worst that a cold server needs, until it is measured. */
@@ -106,8 +99,7 @@
     private static final double COLD_BURST = 0.5;
     /** The part of a keyed request's window in which it may be resent: a late arrival would run again. */
     private static final double WINDOW_SURE = 0.75;
-    /** The first wait before discovery is asked again; doubled while it fails. */
-    private static final long ASK_BACKOFF = SECOND;
+    private static final long ASK_BACKOFF = SECOND; // the first wait before discovery is asked again; then doubled
     private static final long TIMER_PROBE = -1;
     private static final long TIMER_SWEEP = -2;
     private static final long TIMER_ASK = -3;
@@ -123,6 +115,7 @@
     private final List<ClassState> classes = new ArrayList<>();
     private final List<ClassState> order; // the same, the most valuable first
     private double retries = RETRY_BANK;
+    private double credit = Double.MAX_VALUE; // attempts that may be sent; as many as come until one finds no room
     private double spill; // the share of keys that cross zones at once
     /** By kind of server, what {@link Target#stretch} is for one. */
     private final Map<Integer, Double> kindStretch = new HashMap<>();
@@ -203,6 +196,7 @@
         busy += state.unhurried;
         came += request.repeated() || spent > 0 ? 0 : 1;
         retries = Math.min(RETRY_BANK, retries + RETRY_EARNED);
+        earn(CREDIT_REQUEST, now);
         if (past || late && (waiting() || now - crowdedAt < SECOND) || weights == 0 && !listed.isEmpty()) {
             finish(req, now);
         } else {
@@ -230,14 +224,13 @@
         return mix(request.key() ^ mix(request.cost() ^ mix(request.requestClass() ^ mix(request.tenant()))));
     }
 
-    /** Whether requests are held for want of room. */
     private boolean waiting() {
         return classes.stream().anyMatch(state -> !state.held.isEmpty());
     }
 
     /** Sends a request if its history permits and a server has room. */
     private boolean dispatch(Open req, long now) {
-        if (req.attempts.size() >= req.attemptsMost || now >= req.endAt) {
+        if (req.attempts.size() >= req.attemptsMost || now >= req.endAt || credit < 1) {
             return false;
         }
         Target target = pick(req, now);
@@ -247,6 +240,7 @@
         req.held = false;
         req.attempts.add(new Attempt(target, now));
         target.inFlight++;
+        credit -= 1;
         target.coldTokens -= 1;
         actions.send(req.request.id(), target.id, req.type.streamed() ? 0 : req.endAt - now);
         return true;
@@ -337,6 +331,9 @@
         ended.outcome = outcome;
         ended.target.inFlight -= ended.passing ? 0 : 1;
         forget(ended.target);
+        boolean full = outcome == Outcome.FULL || (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
+            && req.endAt - req.cameAt > req.state.times.value();
+        earn(ended.passing ? CREDIT_REQUEST : outcome == Outcome.OK ? CREDIT_ANSWER : full ? 0 : 1, now);
         learn(req, ended.target, outcome, spent, report(ended.target, load, now), now);
         if (closed) {
             close(req);
@@ -416,6 +413,7 @@
             req.streaming = true;
             req.attempts.get(attempt).passing = true;
             req.attempts.get(attempt).target.inFlight--; // its work is done; a slow reader takes no room there
+            earn(CREDIT_ANSWER, now);
             release(now);
         }
     }
@@ -676,7 +674,6 @@
         return Math.max(1, settings.obligations().overloadMultiple() - 1);
     }
 
-    /** What a server is to a request's class. */
     private static ByClass of(Open req, Target target) {
         return target.byClass[req.request.requestClass()];
     }
@@ -916,9 +913,8 @@
     }
 
     // Requests this agent may send to a cold server now. Danger: all agents together push it over. Each keeps to the
-    // server's part of its own demand, spread over those it draws from (over all, large fleets would leave cold servers
-    // idle), times the part surely warm, and more the better it keeps up by its reports. What is answered elsewhere
-    // says nothing to a new agent, nor where a whole zone is cold.
+    // server's part of its own demand among those it draws from, times the part surely warm, and more the better it
+    // keeps up by its reports. What is answered elsewhere says nothing to a new agent, nor where a whole zone is cold.
     private double coldBudget(Target target, long now) {
         int drawn = Math.min(here, spread(SUBSET_LEAST, now)) + Math.min(takers - here, spread(SUBSET_FAR, now));
         double part = target.weight() / weights * (settings.warmKeys() ? 1 : (double) takers / drawn);
@@ -929,6 +925,13 @@
         return target.coldTokens;
     }
 
+    // Danger: work goes on for what has run out of time; the more is sent to full servers, the less is served. What
+    // answers pay for follows what servers can do, also where one agent sees too little of each for limits of its own.
+    private void earn(double much, long now) {
+        double most = CREDIT_LEAST + CREDIT_SECONDS * demand(now);
+        credit = much == 0 ? Math.min(most, credit) : Math.max(credit, Math.min(most, credit + much));
+    }
+
     /** First tries a second; a client's repeats are no demand. */
     private double demand(long now) {
         fade(now);
@@ -969,7 +972,6 @@
         weights = ready.stream().mapToDouble(Target::weight).sum();
         takers = ready.size();
         here = (int) ready.stream().filter(each -> each.listed.zone() == settings.zone()).count();
-        // So many agents have a server in their subset; reckoned once all are listed.
         double part = Math.min(1, (double) subset(SUBSET_LEAST) / Math.max(1, listed.size()));
         for (Target target : listed) {
             target.limit = target.limit == 0 ? LIMIT_START / (settings.agents() * part) : target.limit;
--- a/src/test/java/gatefront/policy/MechanismTest.java
+++ b/src/test/java/gatefront/policy/MechanismTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -417,6 +418,61 @@
         assertEquals(null, bring(hand, 3 * SECOND), "held, not refused");
     }
 
+    /** Fifty requests a second for so long, each attempt ending so after a time; returns how many were sent. */
+    private static int fiftyASecond(Hand hand, int seconds, Outcome outcome, long spent) {
+        int before = hand.all("send").size();
+        List<Hand.Act> due = new ArrayList<>();
+        int seen = hand.acts.size();
+        for (int i = 0; i < 50 * seconds; i++) {
+            hand.request();
+            hand.pass(SECOND / 50);
+            for (; seen < hand.acts.size(); seen++) {
+                Hand.Act act = hand.acts.get(seen);
+                if (act.what().equals("send")) {
+                    due.add(new Hand.Act("due", act.id(), act.server(), hand.now + spent));
+                }
+            }
+            for (Hand.Act each : due.stream().filter(act -> hand.now >= act.value()).toList()) {
+                hand.end(each.id(), hand.sends(each.id()).size() - 1, outcome, spent);
+                due.remove(each);
+            }
+        }
+        return hand.all("send").size() - before;
+    }
+
+    /** Failed before: work that runs out of time at full servers was sent on and on, 26 a second of 50. */
+    @Test
+    void attemptsThatRunOutOfTimeAreFewUntilAnswersPayForMore() {
+        Server[] servers = new Server[60];
+        Arrays.setAll(servers, i -> Hand.server(i + 1, 0));
+        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(1, false, true, false, false, 0), 1, 1)).full(servers);
+        assertTrue(fiftyASecond(hand, 4, Outcome.OK, 40_000) > 195, "while servers answer all is sent");
+        fiftyASecond(hand, 8, Outcome.TIMEOUT, 900_000);
+        int sent = fiftyASecond(hand, 2, Outcome.TIMEOUT, 900_000);
+        assertTrue(sent > 0 && sent < 10, "some are tried still, " + sent);
+        fiftyASecond(hand, 12, Outcome.OK, 40_000);
+        assertTrue(fiftyASecond(hand, 2, Outcome.OK, 40_000) > 95, "and all again once they are answered");
+    }
+
+    /** Failed before: answers that pass slowly kept what they had been paid with, and in the end nothing was sent. */
+    @Test
+    void answersThatAreStillPassedOnHoldNoCredit() {
+        Server[] servers = new Server[60];
+        Arrays.setAll(servers, i -> Hand.server(i + 1, 0));
+        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(1, false, true, false, false, 0), 1, 1)).full(servers);
+        long lost = hand.request();
+        hand.pass(900_000);
+        hand.end(lost, 0, Outcome.TIMEOUT, 900_000); // from now on what is sent has to be paid for
+        for (int i = 0; i < 60; i++) {
+            long id = hand.request();
+            hand.pass(20_000);
+            assertEquals(1, hand.sends(id).size(), "after " + i + " that pass");
+            hand.balancer.streamStarted(hand.now, id, 0, hand.target(id), 20_000);
+        }
+    }
+
     /** One of a caller that waits a quarter of the usual answer's time; returns what was done with it at once. */
     private static String hurried(Hand hand, long id, long cost, boolean repeated) {
         int before = hand.acts.size();
