--- a/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
+++ b/src/test/java/gatefront/rehearsal/plan/PlanReaderTest.java
@@ -19,7 +19,8 @@
     private Path dir;
 
     @ParameterizedTest
-    @ValueSource(strings = {"cashier-rush", "calm", "rough", "large", "fleet-herd", "fleet-zone", "fleet-join", "mass-join"})
+    @ValueSource(strings = {"cashier-rush", "calm", "rough", "large", "fleet-herd", "fleet-zone", "fleet-join",
+        "mass-join", "mass-zone", "mass-herd", "mass-roll"})
     void theBuiltInPlansAreReadAndComeBackFromWhatIsWritten(String name) throws Exception {
         Plan plan = PlanReader.builtIn(name);
         assertEquals(name, plan.name());
