Tests of the credit, of marked repeats and of a jumping clock; requests come by one loop

The loop in which requests come and are answered after a time stood in two test classes; it is Hand.live. Assertions of the older tests are as they were.

--- a/src/test/java/gatefront/policy/ColdFleetTest.java
+++ b/src/test/java/gatefront/policy/ColdFleetTest.java
@@ -40,35 +40,7 @@
     }
 
     private static void live(Hand hand, double seconds, long answer, int demand) {
-        live(hand, seconds, answer, demand, 0);
-    }
-
-    private static void live(Hand hand, double seconds, long answer, int demand, int repeats) {
-        long until = hand.now + (long) (seconds * Hand.SECOND);
-        List<Hand.Act> out = new ArrayList<>();
-        int seen = hand.acts.size();
-        while (hand.now < until) {
-            hand.request();
-            for (int i = 0; i < repeats; i++) {
-                hand.repeat();
-            }
-            for (long next = hand.now + Hand.SECOND / demand; hand.now < next;) {
-                hand.pass(Hand.TICK);
-                for (; seen < hand.acts.size(); seen++) {
-                    Hand.Act act = hand.acts.get(seen);
-                    if (act.what().equals("send")) {
-                        out.add(new Hand.Act("due", act.id(), act.server(), hand.now + answer));
-                    }
-                }
-                out.removeIf(due -> {
-                    boolean over = hand.now >= due.value();
-                    if (over) {
-                        hand.end(due.id(), hand.sends(due.id()).size() - 1, Outcome.OK, answer);
-                    }
-                    return over;
-                });
-            }
-        }
+        hand.live(seconds, Outcome.OK, answer, demand, 0);
     }
 
     private static long sentFrom(Hand hand, long id) {
@@ -224,7 +196,7 @@
             live(hand, 5, 50_000);
             hand.full(servers(1, SERVERS, 0, hand.now));
             int before = hand.all("send").size();
-            live(hand, 3, 20_000, DEMAND, 5 * repeats);
+            hand.live(3, Outcome.OK, 20_000, DEMAND, 5 * repeats);
             sent[repeats] = hand.all("send").size() - before;
         }
         assertTrue(sent[0] > DEMAND && sent[1] < 2 * sent[0], sent[0] + " without and " + sent[1] + " with repeats");
--- a/src/test/java/gatefront/policy/Hand.java
+++ b/src/test/java/gatefront/policy/Hand.java
@@ -152,6 +152,40 @@
         return id;
     }
 
+    /**
+     * Lets requests come evenly for so many seconds, with so many repeats beside each; each attempt ends after a time,
+     * those still out at the end of it stay out. Returns how many were sent.
+     */
+    int live(double seconds, Outcome outcome, long after, int perSecond, int repeats) {
+        int before = all("send").size();
+        long until = now + (long) (seconds * SECOND);
+        List<Act> out = new ArrayList<>();
+        int seen = acts.size();
+        while (now < until) {
+            request();
+            for (int i = 0; i < repeats; i++) {
+                repeat();
+            }
+            for (long next = now + SECOND / perSecond; now < next;) {
+                pass(TICK);
+                for (; seen < acts.size(); seen++) {
+                    Act act = acts.get(seen);
+                    if (act.what().equals("send")) {
+                        out.add(new Act("due", act.id(), act.server(), now + after));
+                    }
+                }
+                out.removeIf(due -> {
+                    boolean over = now >= due.value();
+                    if (over) {
+                        end(due.id(), sends(due.id()).size() - 1, outcome, after);
+                    }
+                    return over;
+                });
+            }
+        }
+        return all("send").size() - before;
+    }
+
     // ---- what was done ----
 
     List<Act> all(String what) {
--- a/src/test/java/gatefront/policy/MechanismTest.java
+++ b/src/test/java/gatefront/policy/MechanismTest.java
@@ -20,6 +20,8 @@
 import gatefront.policy.Balancer.Semantics;
 import gatefront.policy.Balancer.Server;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The mechanism: probes, window, reactivation, pick, spill, fallback; and its departures. */
 class MechanismTest {
@@ -418,53 +420,30 @@
         assertEquals(null, bring(hand, 3 * SECOND), "held, not refused");
     }
 
-    /** Fifty requests a second for so long, each attempt ending so after a time; returns how many were sent. */
-    private static int fiftyASecond(Hand hand, int seconds, Outcome outcome, long spent) {
-        int before = hand.all("send").size();
-        List<Hand.Act> due = new ArrayList<>();
-        int seen = hand.acts.size();
-        for (int i = 0; i < 50 * seconds; i++) {
-            hand.request();
-            hand.pass(SECOND / 50);
-            for (; seen < hand.acts.size(); seen++) {
-                Hand.Act act = hand.acts.get(seen);
-                if (act.what().equals("send")) {
-                    due.add(new Hand.Act("due", act.id(), act.server(), hand.now + spent));
-                }
-            }
-            for (Hand.Act each : due.stream().filter(act -> hand.now >= act.value()).toList()) {
-                hand.end(each.id(), hand.sends(each.id()).size() - 1, outcome, spent);
-                due.remove(each);
-            }
-        }
-        return hand.all("send").size() - before;
+    /** One agent and sixty servers: what limits by server leave open is left to the credit. */
+    private static Hand sixty() {
+        Server[] servers = new Server[60];
+        Arrays.setAll(servers, i -> Hand.server(i + 1, 0));
+        return new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(1, false, true, false, false, 0), 1, 1)).full(servers);
     }
 
     /** Failed before: work that runs out of time at full servers was sent on and on, 26 a second of 50. */
     @Test
     void attemptsThatRunOutOfTimeAreFewUntilAnswersPayForMore() {
-        Server[] servers = new Server[60];
-        Arrays.setAll(servers, i -> Hand.server(i + 1, 0));
-        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
-            new Permits(1, false, true, false, false, 0), 1, 1)).full(servers);
-        assertTrue(fiftyASecond(hand, 4, Outcome.OK, 40_000) > 195, "while servers answer all is sent");
-        fiftyASecond(hand, 8, Outcome.TIMEOUT, 900_000);
-        int sent = fiftyASecond(hand, 2, Outcome.TIMEOUT, 900_000);
+        Hand hand = sixty();
+        assertTrue(hand.live(4, Outcome.OK, 40_000, 50, 0) > 195, "while servers answer all is sent");
+        hand.live(8, Outcome.TIMEOUT, 900_000, 50, 0);
+        int sent = hand.live(2, Outcome.TIMEOUT, 900_000, 50, 0);
         assertTrue(sent > 0 && sent < 10, "some are tried still, " + sent);
-        fiftyASecond(hand, 12, Outcome.OK, 40_000);
-        assertTrue(fiftyASecond(hand, 2, Outcome.OK, 40_000) > 95, "and all again once they are answered");
+        hand.live(12, Outcome.OK, 40_000, 50, 0);
+        assertTrue(hand.live(2, Outcome.OK, 40_000, 50, 0) > 95, "and all again once they are answered");
     }
 
     /** Failed before: answers that pass slowly kept what they had been paid with, and in the end nothing was sent. */
     @Test
     void answersThatAreStillPassedOnHoldNoCredit() {
-        Server[] servers = new Server[60];
-        Arrays.setAll(servers, i -> Hand.server(i + 1, 0));
-        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
-            new Permits(1, false, true, false, false, 0), 1, 1)).full(servers);
-        long lost = hand.request();
-        hand.pass(900_000);
-        hand.end(lost, 0, Outcome.TIMEOUT, 900_000); // from now on what is sent has to be paid for
+        Hand hand = bounded(sixty());
         for (int i = 0; i < 60; i++) {
             long id = hand.request();
             hand.pass(20_000);
@@ -473,6 +452,143 @@
         }
     }
 
+    /** One finds no room: from now on what is sent has to be paid for. */
+    private static Hand bounded(Hand hand) {
+        long lost = hand.request();
+        hand.pass(900_000);
+        hand.end(lost, 0, Outcome.TIMEOUT, 900_000);
+        return hand;
+    }
+
+    /** How many of a hundred that come at once are sent. */
+    private static int sentAtOnce(Hand hand) {
+        int before = hand.all("send").size();
+        for (int i = 0; i < 100; i++) {
+            hand.request();
+        }
+        return hand.all("send").size() - before;
+    }
+
+    @Test
+    void whatIsSavedUpOfTheCreditIsBounded() {
+        assertEquals(100, sentAtOnce(sixty()), "nothing has found no room yet");
+        int few = sentAtOnce(bounded(sixty()));
+        assertTrue(few >= 10 && few < 30, "after one that found no room " + few);
+        Hand served = bounded(sixty());
+        served.live(60, Outcome.OK, 10_000, 20, 0);
+        int more = sentAtOnce(served);
+        assertTrue(more >= 20 && more < 50, "a minute's answers are not all saved up, " + more);
+    }
+
+    @Test
+    void anAnswerPassedOnIsPaidForOnceAndNotAgainAtItsEnd() {
+        Hand hand = bounded(sixty());
+        sentAtOnce(hand); // the credit is used up
+        int before = hand.all("send").size();
+        List<Hand.Act> out = hand.all("send").subList(1, before);
+        for (Hand.Act each : out) {
+            hand.balancer.streamStarted(hand.now, each.id(), 0, each.server(), 20_000);
+        }
+        int begun = hand.all("send").size() - before;
+        for (Hand.Act each : out) {
+            hand.end(each.id(), 0, Outcome.OK, 20_000);
+        }
+        int ended = hand.all("send").size() - before - begun;
+        assertTrue(begun >= out.size() && ended <= 2, begun + " when " + out.size() + " began, " + ended + " at their end");
+    }
+
+    /** What fails at once, or was never wanted for longer, has found no full server, and costs nothing. */
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"ERROR", "RESET", "CONNECT_FAILED", "NEVER_SENT"})
+    void whatEndsForAnotherReasonGivesItsCreditBack(Outcome outcome) {
+        Hand hand = bounded(sixty());
+        for (int i = 0; i < 40; i++) {
+            long id = hand.request();
+            hand.pass(10_000);
+            assertEquals(1, hand.sends(id).size(), "after " + i);
+            hand.end(id, 0, outcome, 10_000);
+        }
+    }
+
+    @Test
+    void timeOutsOfCallersInAHurryCostNoCredit() {
+        Hand hand = sixty();
+        hand.live(10, Outcome.OK, 100_000, 20, 0);
+        for (int i = 0; i < 100; i++) {
+            long id = 1_000 + i;
+            assertEquals("send", hurried(hand, id, 5_000 + i, false), "after " + i);
+            hand.pass(49_000);
+            hand.end(id, 0, Outcome.TIMEOUT, 49_000);
+            hand.pass(SECOND);
+        }
+    }
+
+    /** Where clients mark repeats and give no hints, one that brings little time is still a first try. */
+    @Test
+    void onceRepeatsAreMarkedLittleTimeIsNoTimeSpent() {
+        Hand hand = afterManyFirstTries(false);
+        hand.serve(100_000);
+        hand.repeat();
+        hand.end(hand.all("send").get(hand.all("send").size() - 1).id(), 0, Outcome.OK, 1_000);
+        int demand = hand.all("send").size();
+        for (int i = 0; i < 30; i++) {
+            hand.request();
+        }
+        assertEquals(null, bring(hand, 2 * SECOND), "held like all others, and not refused");
+        assertTrue(hand.all("send").size() > demand);
+    }
+
+    /** The first of all its tries counts, not the last one before it. */
+    @Test
+    void theThirdTryIsReckonedFromTheFirst() {
+        Hand hand = afterManyFirstTries(false);
+        for (int i = 0; i < 2; i++) {
+            hand.balancer.request(hand.now,
+                new Balancer.Request(901 + i, 0, 0, 0, 5_000, hand.now + 3 * SECOND, i > 0, false));
+            hand.balancer.clientLeft(hand.now, 901 + i);
+            hand.end(901 + i, 0, Outcome.CANCELLED, 0);
+            hand.pass(600_000);
+        }
+        hand.balancer.request(hand.now,
+            new Balancer.Request(903, 0, 0, 0, 5_000, hand.now + 3 * SECOND, true, false));
+        assertEquals(1, hand.of("refuse", 903).size(), "1.2 s of 1 s are over");
+    }
+
+    @Test
+    void whatIsKeptOfRequestsNotServedIsBounded() {
+        Hand hand = afterManyFirstTries(false);
+        for (int i = 0; i < 1_100; i++) {
+            hurried(hand, 2_000 + i, 5_000 + i, false);
+            hand.balancer.clientLeft(hand.now, 2_000 + i);
+            if (!hand.sends(2_000 + i).isEmpty()) {
+                hand.end(2_000 + i, 0, Outcome.CANCELLED, 0);
+            }
+        }
+        hand.pass(3 * SECOND);
+        for (int i : new int[] {0, 1_099}) { // the first is forgotten, the last is known to be past its aim
+            hand.balancer.request(hand.now,
+                new Balancer.Request(9_000 + i, 0, 0, 0, 5_000 + i, hand.now + 3 * SECOND, true, false));
+            assertEquals(i == 0 ? 0 : 1, hand.of("refuse", 9_000 + i).size(), "number " + i);
+        }
+    }
+
+    /** The clock moves on by the processor time used, and may jump: nothing is sent past its end then. */
+    @Test
+    void whenTheClockJumpsOverTheEndOfTheNewestHeldItIsAnsweredAndNotSent() {
+        Hand hand = afterManyFirstTries(true);
+        Hand.Act out = hand.all("send").get(hand.all("send").size() - 1);
+        hand.balancer.request(hand.now, new Balancer.Request(901, 0, 0, 0, 5_000, hand.now + 150_000, false, false));
+        assertTrue(hand.sends(901).isEmpty() && hand.of("refuse", 901).isEmpty(), "held");
+        hand.now += 200_000; // no timer has come yet
+        int sent = hand.all("send").size();
+        hand.end(out.id(), 0, Outcome.OK, 100_000); // there is room for one, and the newest is looked at first
+        assertTrue(hand.sends(901).isEmpty());
+        hand.pass(Hand.TICK);
+        assertEquals(1, hand.of("refuse", 901).size(), "at once");
+        hand.pass(50_000);
+        assertTrue(hand.all("send").size() > sent, "there was room, and another one goes");
+    }
+
     /** One of a caller that waits a quarter of the usual answer's time; returns what was done with it at once. */
     private static String hurried(Hand hand, long id, long cost, boolean repeated) {
         int before = hand.acts.size();
