Tests: 100 agents beside 120 new servers, half a subset draining, reload in a restart

Need: the issue's hard cases that had no test of their own: a list that names 120 servers new in one turn, heard of by 100 agents in the same millisecond; half the subset draining while repeats wait; SIGTERM and a SIGHUP that moves discovery while the first list is awaited, and one in the middle of a restart.

--- a/src/test/java/gatefront/agent/ReloadTest.java
+++ b/src/test/java/gatefront/agent/ReloadTest.java
@@ -141,6 +141,64 @@
         }
     }
 
+    /** A padrón that says nothing must not keep a process that is asked to end, nor make its end a failure. */
+    @Test
+    void theProgramEndsInOrderWhileItsFirstListIsAwaited() throws Exception {
+        Peer silent = stage.peer((message, socket) -> { });
+        write(silent.address());
+        Process process = program("-Xmx48m");
+        try {
+            Stage.await(() -> !silent.requests.isEmpty());
+            signal(process, "TERM");
+            assertTrue(process.waitFor(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Discovery moves before its first answer has come. */
+    @Test
+    void theProgramTakesItsFirstListFromWhereDiscoveryHasMoved() throws Exception {
+        Peer silent = stage.peer((message, socket) -> { });
+        Peer other = discoveryOf(stage.peer((message, socket) -> Peer.answer(socket, 200, "", "new")));
+        write(silent.address());
+        Process process = program("-Xmx48m");
+        try {
+            Stage.await(() -> !silent.requests.isEmpty());
+            write(other.address());
+            signal(process, "HUP");
+            Stage.await(() -> asked(other).stream().anyMatch(each -> each.contains("since=1&")));
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Discovery moves in the middle of a restart: whoever still comes is served by the new list. */
+    @Test
+    void anAgentToldToEndFollowsDiscoveryWhileItServesOn() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer old = stage.server((message, socket) -> {
+            go.await();
+            Peer.answer(socket, 200, "", "old");
+        });
+        Peer other = discoveryOf(stage.peer((message, socket) -> Peer.answer(socket, 200, "", "new")));
+        stage.start();
+        Socket held = stage.dial();
+        Peer.write(held, stage.request("order", 8000, "body"));
+        Stage.await(() -> old.requests.size() == 1);
+        Thread ending = Peer.daemon(stage.agent::stop);
+        write(other.address());
+        stage.agent.reload(file, null);
+        Stage.await(() -> asked(other).stream().anyMatch(each -> each.contains("since=1&")));
+        assertEquals("new", stage.call("lookup").text());
+        go.countDown();
+        assertEquals("old", Peer.read(held.getInputStream()).text());
+        ending.join(Stage.GENEROUS_MS);
+        assertFalse(ending.isAlive());
+    }
+
     /**
      * Guards against a start that takes its time over what serves no request: making the library's mapper or
      * code for concatenations is a quarter of it on a part of a core, and nobody is served meanwhile.
--- a/src/test/java/gatefront/policy/ColdFleetTest.java
+++ b/src/test/java/gatefront/policy/ColdFleetTest.java
@@ -11,6 +11,7 @@
 import gatefront.policy.Balancer.Semantics;
 import gatefront.policy.Balancer.Server;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -102,6 +103,27 @@
         }
     }
 
+    /** At full size: 120 of 200 servers are new in one turn, and all 100 agents hear of it in the same millisecond. */
+    @Test
+    void aHundredAgentsThatHearOfManyNewServersAtOncePushNoneOver() {
+        int demand = 10;
+        long[] sent = new long[221];
+        for (int agent = 0; agent < 100; agent++) {
+            Hand hand = new Hand(Hand.as(agent, Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+                new Permits(4, false, true, false, false, 0), 1, 100)), agent).full(servers(1, 80, 0, 0));
+            live(hand, 5, 50_000, demand);
+            hand.list(ListKind.DELTA, servers(101, 120, 0, hand.now));
+            int before = hand.all("send").size();
+            live(hand, 3, 50_000, demand);
+            hand.all("send").stream().skip(before).forEach(act -> sent[(int) act.server()]++);
+        }
+        long[] fresh = Arrays.stream(sent).skip(101).sorted().toArray();
+        // Each bears 0.2 to 0.32 of 1,000 / 0.7 / 200 a second: 5.6 in the 3 s, and topples at three times that.
+        double bears = 3 * 0.26 * 100 * demand / 0.7 / 200;
+        assertTrue(fresh[119] < 3 * bears, "the most " + fresh[119] + " of " + 3 * bears);
+        assertTrue(fresh[60] > 0.5 * bears, "half got " + fresh[60] + " of " + bears + " or less");
+    }
+
     /**
      * The settings tell how slow a cold server may be at the worst. Failed before: one that was never as slow got
      * nothing for as long as one that was.
--- a/src/test/java/gatefront/policy/MechanismTest.java
+++ b/src/test/java/gatefront/policy/MechanismTest.java
@@ -572,6 +572,35 @@
         }
     }
 
+    private static Server drains(long id) {
+        return Hand.server(id, 0, Balancer.Phase.DRAINING, 0);
+    }
+
+    @Test
+    void whenHalfTheSubsetDrainsRepeatsThatWaitGoToTheOthersAndEachEndsOnce() {
+        Hand hand = new Hand(Hand.settings(List.of(Hand.type(Semantics.SAFE, Scope.ALL)),
+            new Permits(6, false, true, false, false, 0), 1, 1)).full(Hand.server(1, 0), Hand.server(2, 0),
+            Hand.server(3, 0), Hand.server(4, 0), Hand.server(5, 0), Hand.server(6, 0));
+        for (int i = 0; i < 100; i++) {
+            hand.request(); // more than all have room for
+        }
+        List<Hand.Act> first = List.copyOf(hand.all("send"));
+        List<Hand.Act> failed = first.subList(0, 8);
+        failed.forEach(each -> hand.end(each.id(), 0, Outcome.ERROR, 1_000));
+        assertTrue(failed.stream().anyMatch(each -> hand.sends(each.id()).size() == 1), "repeats wait");
+        int before = hand.all("send").size();
+        hand.list(Balancer.ListKind.DELTA, drains(1), drains(2), drains(3));
+        hand.pass(100_000);
+        first.subList(8, first.size()).forEach(each -> hand.end(each.id(), 0, Outcome.OK, 100_000));
+        hand.pass(2 * SECOND);
+        List<Hand.Act> after = hand.all("send").subList(before, hand.all("send").size());
+        assertTrue(after.stream().allMatch(each -> each.server() > 3), "nothing new to those that drain");
+        assertTrue(after.stream().anyMatch(each -> failed.stream().anyMatch(one -> one.id() == each.id())), "repeats go on");
+        for (Hand.Act each : failed) {
+            assertEquals(1, hand.of("refuse", each.id()).size() + hand.of("fail", each.id()).size(), "one end");
+        }
+    }
+
     /** The clock moves on by the processor time used, and may jump: nothing is sent past its end then. */
     @Test
     void whenTheClockJumpsOverTheEndOfTheNewestHeldItIsAnsweredAndNotSent() {
