One way to drain a nodo in rehearsals; a request's fingerprint has the field's name

Found on reading the whole change: three places told a nodo to drain, or took it back, each with the flag and the padrón's line; Timetable.drain does it. Rules.print is fingerprint.

Looked at and left: the set-up of a stage in three test classes (four lines that the test library asks for), the constructors of the two small servers, NodoModel's setters, the two first lines of tests that differ in what follows.

--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -134,7 +134,7 @@
     /** When a request that had time enough was last turned away for want of room. */
     private long crowdedAt = Long.MIN_VALUE / 2;
     private boolean marks; // whether clients mark their repeats
-    /** By {@link #print}, when the first try of a request came that was not served; emptied when full. */
+    /** By {@link #fingerprint}, when the first try of a request came that was not served; emptied when full. */
     private final Map<Long, Long> unserved = new HashMap<>();
     private long nextToken;
     private int probeTurn;
@@ -177,7 +177,7 @@
         ClassState state = classes.get(request.requestClass());
         RequestClass type = state.type;
         long aim = type.aim() + (long) (type.aimStretch() * request.cost());
-        Long first = request.cost() == 0 ? null : unserved.remove(print(request));
+        Long first = request.cost() == 0 ? null : unserved.remove(fingerprint(request));
         long spent = first != null ? now - first : spentBefore(request, state, now);
         // Danger: work for an answer already too late. Where that is only reckoned, one is served while there is room.
         long last = request.deadline() - settings.tick();
@@ -220,7 +220,7 @@
     }
 
     /** What tells a request from others: its client's repeat brings the same. */
-    private static long print(Request request) {
+    private static long fingerprint(Request request) {
         return mix(request.key() ^ mix(request.cost() ^ mix(request.requestClass() ^ mix(request.tenant()))));
     }
 
@@ -380,7 +380,7 @@
         if (unserved.size() >= UNSERVED_MOST) {
             unserved.clear();
         }
-        unserved.put(print(req.request), req.firstAt);
+        unserved.put(fingerprint(req.request), req.firstAt);
         for (int i = 0; i < req.attempts.size() && settings.permits().cancel(); i++) {
             if (req.attempts.get(i).outcome == null) {
                 actions.cancel(req.request.id(), i);
--- a/src/main/java/gatefront/rehearsal/Timetable.java
+++ b/src/main/java/gatefront/rehearsal/Timetable.java
@@ -89,12 +89,7 @@
             case TAKEN -> take(trouble, nodo, true);
             case SUCCEED -> succeed(trouble, nodo);
             case BREAK_OFF -> nodo.breakOff(trouble.size());
-            case DRAIN, LEAVE -> {
-                if (nodo.up()) {
-                    nodo.leaving(true);
-                    day.padron.learnsStatus(nodo, Padron.Status.TERMINATING);
-                }
-            }
+            case DRAIN, LEAVE -> drain(nodo, true);
             case REPLACE -> {
                 if (nodo.up()) {
                     nodo.kill();
@@ -121,12 +116,15 @@
         NodoStand fresh = day.addNodo(nodo.spec());
         fresh.start(true);
         day.padron.learnsStart(fresh);
-        day.at(day.now() + trouble.lasts() / 3, () -> {
-            if (nodo.up()) {
-                nodo.leaving(true);
-                day.padron.learnsStatus(nodo, Padron.Status.TERMINATING);
-            }
-        });
+        day.at(day.now() + trouble.lasts() / 3, () -> drain(nodo, true));
+    }
+
+    /** Told to take nothing new, or taken back. */
+    private void drain(NodoStand nodo, boolean on) {
+        if (nodo.up()) {
+            nodo.leaving(on);
+            day.padron.learnsStatus(nodo, on ? Padron.Status.TERMINATING : Padron.Status.READY);
+        }
     }
 
     private void take(Cast.Trouble trouble, NodoStand nodo, boolean on) {
@@ -148,12 +146,7 @@
             case FAIL -> nodo.failing(0);
             case TAKEN -> nodo.taken(0);
             case BREAK_OFF -> nodo.breakOff(0);
-            case DRAIN -> {
-                if (nodo.up()) {
-                    nodo.leaving(false);
-                    day.padron.learnsStatus(nodo, Padron.Status.READY);
-                }
-            }
+            case DRAIN -> drain(nodo, false);
             case LEAVE, SUCCEED -> {
                 if (nodo.up()) {
                     nodo.kill();
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -21,8 +21,7 @@
 public final class PlanReader {
     /** The plans that come with the jar. */
     public static final List<String> BUILT_IN = List.of("cashier-rush", "calm", "rough", "large", "fleet-herd",
-        "fleet-zone", "fleet-join", "mass-join", "mass-zone",
-        "mass-herd", "mass-roll", "registry", "soak");
+        "fleet-zone", "fleet-join", "mass-join", "mass-zone", "mass-herd", "mass-roll", "registry", "soak");
     /** What may be spoken between callers, agents and nodos. */
     public static final List<String> PROTOCOLS = List.of("http", "framed-binary", "framed-compact", "unframed-binary",
         "unframed-compact");
