--- a/src/main/java/gatefront/cli/RehearseCommand.java
+++ b/src/main/java/gatefront/cli/RehearseCommand.java
@@ -7,6 +7,7 @@
 import gatefront.rehearsal.Seeds;
 import gatefront.rehearsal.Shrink;
 import gatefront.rehearsal.check.RuleChecker;
+import gatefront.rehearsal.plan.Fault;
 import gatefront.rehearsal.plan.Plan;
 import gatefront.toml.TomlException;
 import gatefront.rehearsal.plan.PlanReader;
@@ -52,6 +53,12 @@
     @Option(names = "--real", description = "Play in real time on loopback sockets, against agents in processes of "
         + "their own. Nothing repeats exactly then.")
     private boolean real;
+    @Option(names = "--agents", paramLabel = "N", description = "As many agents in place of the plan's; they share "
+        + "the same requests.")
+    private Integer agents;
+    @Option(names = "--nodos", paramLabel = "N", description = "As many nodos in place of the plan's; the callers' "
+        + "rate goes with them.")
+    private Integer nodos;
     @Option(names = "--shrink", paramLabel = "FILE", description = "Where the seed breaks a rule: cut the plan down "
         + "to the fewest faults and callers that still break it, and write that plan.")
     private Path shrink;
@@ -61,7 +68,7 @@
     @Override
     public Integer call() throws TomlException, IOException {
         PrintWriter out = spec.commandLine().getOut();
-        Plan read = read(plan);
+        Plan read = sized(read(plan));
         if (seeds != null) {
             return many(read, out);
         }
@@ -91,6 +98,32 @@
             : PlanReader.read(file);
     }
 
+    private Plan sized(Plan read) {
+        if (agents == null && nodos == null) {
+            return read;
+        }
+        Plan sized = read.sized(size("--agents", agents, read.agents().count()),
+            size("--nodos", nodos, read.nodos().count()));
+        for (Fault each : sized.faults()) {
+            int most = each.kind().whom() == Fault.Kind.Whom.AGENTS ? sized.agents().count() : sized.nodos().count();
+            for (String name : each.names()) {
+                if (Integer.parseInt(name.substring(name.indexOf('-') + 1)) > most) {
+                    throw new ParameterException(spec.commandLine(), "the plan names " + name
+                        + " in a fault, and there would be " + most);
+                }
+            }
+        }
+        return sized;
+    }
+
+    private int size(String option, Integer asked, int usual) {
+        if (asked != null && (asked < 1 || asked > PlanReader.COUNT_MOST)) {
+            throw new ParameterException(spec.commandLine(), option + " is a number from 1 to "
+                + PlanReader.COUNT_MOST + ", not " + asked);
+        }
+        return asked == null ? usual : asked;
+    }
+
     private void progress(boolean watched, double done) {
         if (watched) {
             System.err.printf(Locale.ROOT, "\rplaying ... %3.0f%%%s", 100 * done, done >= 1 ? "\r            \r" : "");
--- a/src/main/java/gatefront/rehearsal/plan/Plan.java
+++ b/src/main/java/gatefront/rehearsal/plan/Plan.java
@@ -84,6 +84,16 @@
                 callers.hintError, callers.marksRetry, callers.retryAfterMs), classes, tenants, faults);
     }
 
+    /** The same day at another size: so many agents and nodos, and as many requests for each nodo as before. */
+    public Plan sized(int agentCount, int nodoCount) {
+        Agents agentsNow = new Agents(agentCount, agents.sockets, agents.memoryMb, agents.skew);
+        Nodos nodosNow = new Nodos(nodoCount, nodos.bloque, nodos.limited, nodos.limit, nodos.coldFrom,
+            nodos.coldSeconds, nodos.reportMs, nodos.noise, nodos.probeMs, nodos.connectionMs, nodos.connections,
+            nodos.idleSeconds, nodos.kinds);
+        return new Plan(name, seconds, zones, worthByWork, network, agentsNow, nodosNow, rules, padron, callers,
+            classes, tenants, faults).withRate(callers.rate * nodoCount / nodos.count);
+    }
+
     /** The same day cut to another length; faults that would come after it are left out. */
     public Plan withSeconds(double length) {
         List<Fault> within = faults.stream().filter(each -> each.at().low() < length)
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -27,6 +27,8 @@
         "unframed-compact");
     /** Where agents may have the server list from. */
     public static final List<String> SOURCES = List.of("padron", "etcd", "consul");
+    /** Agents, and nodos, of a plan at the most. */
+    public static final int COUNT_MOST = 10_000;
     private static final double MANY = 1e9;
 
     private final String file;
@@ -128,7 +130,7 @@
     }
 
     private static Plan.Agents agents(Table t) throws TomlException {
-        return new Plan.Agents(t.whole("count", 5, 1, 10_000), t.whole("sockets", 384, 64, 1 << 20),
+        return new Plan.Agents(t.whole("count", 5, 1, COUNT_MOST), t.whole("sockets", 384, 64, 1 << 20),
             t.whole("memory_mb", 128, 16, 1 << 20), t.number("skew", 0.5, 0, 3));
     }
 
@@ -142,7 +144,7 @@
                 each.number("thrash", 0.0, 0, 10), each.number("thrash_at", 4.0, 0, 1000)));
         }
         distinct(t, "kinds", kinds.stream().map(Plan.Machine::name).toList());
-        return new Plan.Nodos(t.whole("count", 14, 1, 10_000), t.range("bloque", new Range(6, 10), 1, 10_000),
+        return new Plan.Nodos(t.whole("count", 14, 1, COUNT_MOST), t.range("bloque", new Range(6, 10), 1, 10_000),
             t.range("limited", new Range(0, 0), 0, 1), t.range("limit", new Range(0.6, 0.6), 0.01, 1),
             t.range("cold_from", new Range(0.13, 0.13), 0.01, 1),
             t.range("cold_s", new Range(24, 24), 0.1, 3600),
--- a/src/test/java/gatefront/cli/RehearseCommandTest.java
+++ b/src/test/java/gatefront/cli/RehearseCommandTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import gatefront.rehearsal.plan.PlanReader;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -65,6 +66,21 @@
         assertEquals(1, run("plan", "--check", dir.resolve("c.toml").toString()));
     }
 
+    @Test
+    void aPlanIsPlayedAtAnotherSizeWithAsManyRequestsForEachNodo() throws Exception {
+        assertEquals(0, run("rehearse", plan("a.toml", ""), "--agents", "7", "--nodos", "12", "--json"));
+        var report = new ObjectMapper().readTree(out.toString());
+        assertEquals(7, report.get("agents").asInt());
+        assertEquals(12, report.get("nodos").asInt());
+        assertEquals(180, report.get("rate").asDouble(), 1e-9, "60 a second for 4 nodos before");
+        assertEquals(2, run("rehearse", "calm", "--nodos", "0"));
+        assertEquals(2, run("rehearse", "calm", "--agents", "10001"));
+        String named = plan("n.toml", "[[faults]]\nkind = \"die\"\nat_s = 1\nfor_s = 1\nnames = [\"nodo-4\"]\n");
+        assertEquals(0, run("rehearse", named, "--nodos", "4"));
+        assertEquals(2, run("rehearse", named, "--nodos", "3"));
+        assertTrue(err.toString().contains("names nodo-4 in a fault, and there would be 3"), err.toString());
+    }
+
     @Test
     void wrongUsageEndsWithTwo() {
         assertEquals(2, run("rehearse", "--sed", "1"));
