Storage that survives crashes, and on it the pure ledger: periods, corrections, digests

Need: nothing in the program survived a crash but two small files. Each municipio is to pay for its use by entries that no crash loses or doubles, and instances are to find where they differ.

Each frame says up to where all was forced, so damage is told from a torn end; what a start cannot be sure of is written again into a new segment that ends the old one. gatefront.ledger, pure: entries by (instance, epoch, number), taken once; corrections as entries of their own; periods by a wall clock that may jump; parts that are known to be missing; totals in persistent maps (PCollections); digests of ranges and a search for differences.

Not yet used by the agent.

--- /dev/null
+++ b/src/main/java/gatefront/storage/FolderDisk.java
@@ -0,0 +1,133 @@
+package gatefront.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A folder of the file system. */
+public final class FolderDisk implements Disk {
+    private static final String LOCK = "lock";
+
+    private final Path folder;
+
+    /** A folder, made if it is not there; the one above it must be. */
+    public FolderDisk(Path folder) throws IOException {
+        this.folder = folder;
+        if (!Files.isDirectory(folder)) {
+            Files.createDirectory(folder);
+            syncFolder(folder.toAbsolutePath().getParent());
+        }
+    }
+
+    /** A folder that must be there, for one who only looks. */
+    static FolderDisk existing(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new IOException(folder + " is no folder");
+        }
+        return new FolderDisk(folder);
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(each -> each.getFileName().toString()).filter(each -> !each.equals(LOCK)).toList();
+        }
+    }
+
+    @Override
+    public File create(String name) throws IOException {
+        return new Channel(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.READ,
+            StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING));
+    }
+
+    @Override
+    public File open(String name) throws IOException {
+        return new Channel(FileChannel.open(folder.resolve(name), StandardOpenOption.READ));
+    }
+
+    @Override
+    public void move(String from, String to) throws IOException {
+        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
+            StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(folder.resolve(name));
+    }
+
+    @Override
+    public void syncNames() throws IOException {
+        syncFolder(folder);
+    }
+
+    private static void syncFolder(Path which) throws IOException {
+        try (FileChannel names = FileChannel.open(which, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+
+    @Override
+    public Closeable lock() throws IOException {
+        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock lock = null;
+        try {
+            lock = file.tryLock();
+        } catch (OverlappingFileLockException e) {
+            // held within this process
+        } finally {
+            if (lock == null) {
+                file.close();
+            }
+        }
+        return lock == null ? null : file;
+    }
+
+    /** A file by its channel. */
+    private record Channel(FileChannel channel) implements File {
+        @Override
+        public void write(long at, ByteBuffer bytes) throws IOException {
+            long next = at;
+            while (bytes.hasRemaining()) {
+                next += channel.write(bytes, next);
+            }
+        }
+
+        @Override
+        public int read(long at, ByteBuffer into) throws IOException {
+            int all = 0;
+            while (into.hasRemaining()) {
+                int n = channel.read(into, at + all);
+                if (n < 0) {
+                    break;
+                }
+                all += n;
+            }
+            return all;
+        }
+
+        @Override
+        public long size() throws IOException {
+            return channel.size();
+        }
+
+        @Override
+        public void sync() throws IOException {
+            channel.force(false);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+}
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -14,7 +14,8 @@
     private static final JavaClasses CODE = new ClassFileImporter()
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gatefront");
     private static final String[] PURE = {"gatefront.policy..", "gatefront.rehearsal.world..",
-        "gatefront.rehearsal.check..", "gatefront.registry.follower..", "gatefront.budget..", "gatefront.limits.."};
+        "gatefront.rehearsal.check..", "gatefront.registry.follower..", "gatefront.budget..", "gatefront.limits..",
+        "gatefront.ledger.."};
 
     @Test
     void arrowsPointOneWay() {
@@ -31,6 +32,8 @@
         .layer("padron").definedBy("gatefront.padron..")
         .layer("budget").definedBy("gatefront.budget..")
         .layer("limits").definedBy("gatefront.limits..")
+        .layer("storage").definedBy("gatefront.storage..")
+        .layer("ledger").definedBy("gatefront.ledger..")
         .layer("status").definedBy("gatefront.status..")
         .layer("management").definedBy("gatefront.management..")
         .layer("upgrade").definedBy("gatefront.upgrade..")
@@ -57,6 +60,8 @@
         .whereLayer("budget").mayNotAccessAnyLayer()
         .whereLayer("limits").mayOnlyBeAccessedByLayers("engine")
         .whereLayer("limits").mayNotAccessAnyLayer()
+        .whereLayer("storage").mayNotAccessAnyLayer()
+        .whereLayer("ledger").mayNotAccessAnyLayer()
         .whereLayer("management").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("management").mayOnlyAccessLayers("membership", "policy", "status", "transport")
         .whereLayer("upgrade").mayOnlyBeAccessedByLayers("agent")
--- /dev/null
+++ b/src/test/java/gatefront/ledger/LedgerTest.java
@@ -0,0 +1,154 @@
+package gatefront.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** What a ledger counts, whatever the order in which it hears of it. */
+class LedgerTest {
+    private static EntryId id(String instance, long sequence) {
+        return new EntryId(instance, 1, sequence);
+    }
+
+    private static Entry use(String instance, long sequence, long period, String tenant, long requests) {
+        return Entry.use(id(instance, sequence), period, tenant, "consulta", new Amounts(requests, 10, 20, 30));
+    }
+
+    private static Entry correction(String instance, long sequence, long period, EntryId of, long requests) {
+        return new Entry(id(instance, sequence), Entry.Kind.CORRECTION, period, "", "", new Amounts(requests, 0, 0, 0),
+            of, "counted twice");
+    }
+
+    private static Ledger of(List<Entry> entries) throws Ledger.Conflict {
+        Ledger ledger = Ledger.EMPTY;
+        for (Entry each : entries) {
+            ledger = ledger.with(each);
+        }
+        return ledger;
+    }
+
+    @Test
+    void anEntryCountsOnceAndAnotherOfItsIdIsAConflict() throws Exception {
+        Ledger ledger = of(List.of(use("a", 0, 7, "mitla", 5)));
+        assertSame(ledger, ledger.with(use("a", 0, 7, "mitla", 5)));
+        Ledger.Conflict e = assertThrows(Ledger.Conflict.class, () -> ledger.with(use("a", 0, 7, "mitla", 6)));
+        assertTrue(e.getMessage().startsWith("entry a/1/0 is there as USE of period 7 mitla"), e.getMessage());
+        assertEquals(5, ledger.total(7, "mitla").requests());
+    }
+
+    @Test
+    void aCorrectionIsAnEntryOfItsOwnInTheOpenPeriodAndCountsWithWhatItCorrects() throws Exception {
+        Ledger ledger = of(List.of(use("a", 0, 7, "mitla", 5), use("a", 1, 8, "etla", 1),
+            correction("b", 0, 8, id("a", 0), -2)));
+        assertEquals(5, ledger.total(7, "mitla").requests(), "what is closed is not changed");
+        assertEquals(-2, ledger.total(8, "mitla").requests());
+        ledger = ledger.with(correction("b", 1, 9, id("b", 0), 1));
+        assertEquals(1, ledger.total(9, "mitla").requests(), "a correction of a correction, of the same tenant");
+    }
+
+    @Test
+    void aCorrectionThatComesFirstWaits() throws Exception {
+        Ledger ledger = of(List.of(correction("b", 1, 9, id("b", 0), 1), correction("b", 0, 8, id("a", 0), -2)));
+        assertEquals(2, ledger.waiting().size());
+        assertEquals(Map.of(), ledger.totals(8));
+        ledger = ledger.with(use("a", 0, 7, "mitla", 5));
+        assertEquals(List.of(), ledger.waiting());
+        assertEquals(-2, ledger.total(8, "mitla").requests());
+        assertEquals(1, ledger.total(9, "mitla").requests());
+    }
+
+    @Test
+    void correctionsThatCorrectEachOtherCountForNothingAndEnd() throws Exception {
+        Ledger ledger = of(List.of(correction("b", 0, 8, id("b", 1), 1), correction("b", 1, 8, id("b", 0), 1)));
+        assertEquals(Map.of(), ledger.totals(8));
+        assertFalse(ledger.waiting().isEmpty());
+    }
+
+    /** 300 random lots of entries, some twice, in random orders: the same ledger, and sums as reckoned plainly. */
+    @Test
+    void anyOrderOfTheSameEntriesMakesTheSameLedger() throws Exception {
+        for (int seed = 0; seed < 300; seed++) {
+            Random random = new Random(seed);
+            List<Entry> entries = new ArrayList<>();
+            long[] sums = new long[3];
+            for (int i = 0; i < 30; i++) {
+                int of = entries.isEmpty() || random.nextInt(3) > 0 ? -1 : random.nextInt(entries.size());
+                Entry made = of < 0 ? use("a", i, random.nextInt(3), "t" + random.nextInt(3), random.nextInt(100))
+                    : correction("a", i, random.nextInt(3), entries.get(of).id(), random.nextInt(21) - 10);
+                entries.add(made);
+                sums[(int) made.period()] += made.amounts().requests();
+            }
+            Ledger one = of(entries);
+            List<Entry> other = new ArrayList<>(entries);
+            other.addAll(entries.subList(0, 10));
+            Collections.shuffle(other, random);
+            Ledger two = of(other);
+            for (long period = 0; period < 3; period++) {
+                assertEquals(one.totals(period), two.totals(period));
+                assertEquals(sums[(int) period],
+                    one.totals(period).values().stream().mapToLong(Amounts::requests).sum());
+            }
+            assertEquals(List.of(), two.waiting());
+            assertEquals(entries.size(), two.size());
+        }
+    }
+
+    @Test
+    void thePartOfAnInstanceThatNeverClosedIsNotKnownAndNotNothing() throws Exception {
+        Ledger ledger = of(List.of(use("a", 0, 7, "mitla", 5), use("a", 1, 7, "etla", 1),
+            Entry.closed(id("a", 2), 7, 2), use("b", 0, 7, "mitla", 1), use("c", 1, 7, "mitla", 1),
+            Entry.closed(id("c", 2), 7, 2)));
+        assertEquals(Map.of("a/1", Ledger.Part.WHOLE, "b/1", Ledger.Part.UNKNOWN, "c/1", Ledger.Part.INCOMPLETE,
+            "d", Ledger.Part.UNKNOWN), ledger.standing(7, List.of("a", "b", "c", "d")));
+        Entry again = Entry.use(new EntryId("b", 2, 0), 7, "mitla", "consulta", Amounts.NONE);
+        Ledger back = ledger.with(again).with(Entry.closed(new EntryId("b", 2, 1), 7, 1));
+        assertEquals(Ledger.Part.UNKNOWN, back.standing(7, List.of()).get("b/1"), "its first life never ended");
+        assertEquals(Ledger.Part.WHOLE, back.standing(7, List.of()).get("b/2"));
+    }
+
+    @Test
+    void sumsBeyondANumberAreToldAndChangeNothing() throws Exception {
+        Ledger ledger = of(List.of(use("a", 0, 7, "mitla", Long.MAX_VALUE)));
+        assertThrows(ArithmeticException.class, () -> ledger.with(use("a", 1, 7, "mitla", 1)));
+        assertEquals(1, ledger.size());
+    }
+
+    @Test
+    void entriesThatMakeNoSenseAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new EntryId("a b", 0, 0));
+        assertThrows(IllegalArgumentException.class, () -> EntryId.parse("a/1"));
+        assertThrows(IllegalArgumentException.class, () -> use("a", 0, -1, "mitla", 1));
+        assertThrows(IllegalArgumentException.class, () -> use("a", 0, 1, "x".repeat(201), 1));
+        assertThrows(IllegalArgumentException.class, () -> correction("a", 0, 1, null, 1));
+        assertEquals(id("a", 3), EntryId.parse("a/1/3"));
+    }
+
+    @Test
+    void aClockThatGoesBackReopensNothingAndOneThatJumpsClosesWhatItPasses() {
+        Periods periods = new Periods(100, 10, 0, 1_050);
+        assertEquals(10, periods.open());
+        assertFalse(periods.at(1_099));
+        assertFalse(periods.at(1_105));
+        assertEquals(11, periods.open());
+        assertEquals(10, periods.closing(), "what ended before the end may still be told");
+        assertEquals(1_110, periods.next(1_105));
+        assertTrue(periods.at(1_110));
+        assertEquals(11, periods.closing());
+        assertFalse(periods.at(1_020), "back over the end");
+        assertEquals(11, periods.open());
+        assertEquals(11, periods.closing());
+        assertTrue(periods.at(1_620));
+        assertEquals(16, periods.closing(), "all that was passed is closed");
+        Periods after = new Periods(100, 10, 16, 1_300);
+        assertEquals(16, after.open(), "a restart with the clock set back");
+    }
+}
--- /dev/null
+++ b/src/test/java/gatefront/storage/StoreTest.java
@@ -0,0 +1,307 @@
+package gatefront.storage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A store's bounds, its signatures, what it says of damage, and the thread that writes it. */
+class StoreTest {
+    private static final String FIRST = "1 " + "0a".repeat(32) + "\n";
+    private static final String BOTH = FIRST + "# newer\n2 " + "0b".repeat(32) + "\n";
+    @TempDir
+    private Path folder;
+    private final MemoryDisk disk = new MemoryDisk(1);
+    private final List<String> held = new ArrayList<>();
+    private final Replay replay = new Replay() {
+        @Override
+        public void snapshot(byte[] record) {
+            held.add("s" + text(record));
+        }
+
+        @Override
+        public void record(long number, byte[] record) {
+            held.add(number + text(record));
+        }
+    };
+
+    private static String text(byte[] record) {
+        return new String(record, StandardCharsets.US_ASCII);
+    }
+
+    private static List<byte[]> group(String... records) {
+        List<byte[]> group = new ArrayList<>();
+        for (String each : records) {
+            group.add(each.getBytes(StandardCharsets.US_ASCII));
+        }
+        return group;
+    }
+
+    private static Store.Options options(String keys, int segment, long most) throws IOException {
+        return new Store.Options(keys == null ? Keys.NONE : Keys.parse("keys", keys), segment, most);
+    }
+
+    /** Several segments, a snapshot in the middle, closed in order. */
+    private void fill(String keys) throws IOException {
+        Store store = Store.open(disk, options(keys, 300, 1 << 20), Replay.NOBODY);
+        store.append(group("a", "b"), true);
+        store.append(group("c".repeat(120)), false);
+        Store.Snapshot snapshot = store.snapshot();
+        store.append(group("d"), true); // the log grows while the snapshot is made
+        snapshot.add("abc".getBytes(StandardCharsets.US_ASCII));
+        snapshot.finish();
+        store.append(group("e".repeat(100)), true);
+        store.append(group("f".repeat(100)), true);
+        store.close();
+    }
+
+    @Test
+    void aSnapshotStandsForWhatWasBeforeIt() throws IOException {
+        fill(null);
+        Store.open(disk, options(null, 300, 1 << 20), replay).close();
+        assertEquals(List.of("sabc", "3d", "4" + "e".repeat(100), "5" + "f".repeat(100)), held);
+        assertFalse(disk.names().contains(Scan.segmentName(1)), "what it stands for is gone");
+    }
+
+    @Test
+    void eachBitThatChangesIsFound() throws IOException {
+        for (String keys : new String[] {null, FIRST}) {
+            fill(keys);
+            for (String name : disk.names()) {
+                for (int at = 0; at < disk.size(name); at++) {
+                    int bit = at % 8;
+                    disk.flip(name, at, bit);
+                    Verify verify = Verify.of(disk, options(keys, 1, 1).keys(), Replay.NOBODY);
+                    assertFalse(verify.clean(), name + " at " + at);
+                    assertTrue(verify.damage() == null || verify.damage().file().equals(name)
+                        || at < Head.BYTES, () -> name + ": " + verify.damage());
+                    disk.flip(name, at, bit);
+                }
+            }
+            assertTrue(Verify.of(disk, options(keys, 1, 1).keys(), Replay.NOBODY).clean());
+            for (String name : disk.names()) {
+                disk.delete(name);
+            }
+        }
+    }
+
+    @Test
+    void aStoreWithDamageIsNotOpenedAndNotChanged() throws IOException {
+        fill(null);
+        String last = Scan.segmentName(disk.names().stream().filter(each -> each.endsWith(".log"))
+            .mapToLong(each -> Long.parseLong(each.substring(0, 16), 16)).max().orElseThrow());
+        disk.flip(last, Head.BYTES + 70, 1);
+        int before = disk.steps;
+        DamageException e = assertThrows(DamageException.class, () -> Store.open(disk, Store.Options.USUAL, replay));
+        assertEquals(last + " at 104: is not what was forced to the disk there", e.getMessage());
+        assertEquals(before, disk.steps);
+        disk.flip(last, Head.BYTES + 70, 1);
+        Store.open(disk, Store.Options.USUAL, replay).close(); // and the lock was given back
+    }
+
+    @Test
+    void filesThatAreMissingAreNamed() throws IOException {
+        fill(null);
+        List<String> logs = disk.names().stream().filter(each -> each.endsWith(".log")).sorted().toList();
+        assertTrue(logs.size() >= 3);
+        for (int i = 0; i < logs.size(); i++) {
+            Disk.File file = disk.open(logs.get(i));
+            disk.delete(logs.get(i));
+            Verify verify = Verify.of(disk, Keys.NONE, Replay.NOBODY);
+            // Of a log whose end is gone nothing on the disk can tell; a signature by count would need another place.
+            assertEquals(i < logs.size() - 1, verify.damage() != null, logs.get(i) + ": " + verify);
+            Disk.File again = disk.create(logs.get(i));
+            ByteBuffer bytes = ByteBuffer.allocate((int) file.size());
+            file.read(0, bytes);
+            again.write(0, bytes.flip());
+        }
+        assertTrue(Verify.of(disk, Keys.NONE, Replay.NOBODY).clean());
+    }
+
+    @Test
+    void aNewerFormatIsRefusedAndNotTakenForDamageOfTheBytes() throws IOException {
+        Store.open(disk, Store.Options.USUAL, replay).close();
+        String name = disk.names().get(0);
+        ByteBuffer head = ByteBuffer.allocate(Head.BYTES);
+        disk.open(name).read(0, head);
+        head.put(7, (byte) 2);
+        CRC32C sum = new CRC32C();
+        sum.update(head.duplicate().position(0).limit(36));
+        sum.update(head.duplicate().position(40).limit(Head.BYTES));
+        disk.create(name).write(0, head.putInt(36, (int) sum.getValue()).rewind());
+        IOException e = assertThrows(IOException.class, () -> Store.open(disk, Store.Options.USUAL, replay));
+        assertTrue(e.getMessage().contains("a newer program wrote it"), e.getMessage());
+    }
+
+    @Test
+    void onlyOneHasAStoreOpen() throws IOException {
+        Store one = Store.open(disk, Store.Options.USUAL, replay);
+        IOException e = assertThrows(IOException.class, () -> Store.open(disk, Store.Options.USUAL, replay));
+        assertEquals("somebody else has this store open", e.getMessage());
+        one.close();
+        Store.open(disk, Store.Options.USUAL, replay).close();
+        FolderDisk real = new FolderDisk(folder.resolve("s"));
+        Store held = Store.open(real, Store.Options.USUAL, replay);
+        assertThrows(IOException.class, () -> Store.open(new FolderDisk(folder.resolve("s")), Store.Options.USUAL,
+            replay));
+        held.close();
+    }
+
+    @Test
+    void startsLeaveNoFilesBehind() throws IOException {
+        for (int i = 0; i < 20; i++) {
+            Store.open(disk, Store.Options.USUAL, replay).close();
+        }
+        assertEquals(1, disk.names().size());
+    }
+
+    @Test
+    void aFullStoreRefusesAndTakesAgainOnceASnapshotHasMadeRoom() throws IOException {
+        Store store = Store.open(disk, options(null, 1_000, 4_000), replay);
+        int n = 0;
+        while (true) {
+            try {
+                store.append(group("x".repeat(100)), true);
+                n++;
+            } catch (FailedException e) {
+                assertEquals(FailedException.Why.BOUND, e.why());
+                break;
+            }
+        }
+        assertTrue(n > 15 && n < 25, n + " records");
+        assertTrue(store.bytes() <= 4_000);
+        Store.Snapshot tooLarge = store.snapshot();
+        FailedException bound = assertThrows(FailedException.class, () -> {
+            tooLarge.add(new byte[3_000]);
+            tooLarge.finish();
+        });
+        assertEquals(FailedException.Why.BOUND, bound.why());
+        Store.Snapshot snapshot = store.snapshot();
+        snapshot.add("sum".getBytes(StandardCharsets.US_ASCII));
+        snapshot.finish();
+        store.append(group("y"), true);
+        store.close();
+        Store.open(disk, Store.Options.USUAL, replay).close();
+        assertEquals(List.of("ssum", n + "y"), held);
+    }
+
+    @Test
+    void aDiskThatIsFullForAWhileCostsWhatCameMeanwhileAlone() throws IOException {
+        Store store = Store.open(disk, Store.Options.USUAL, replay);
+        store.append(group("before"), true);
+        disk.full = true;
+        for (int i = 0; i < 3; i++) {
+            assertThrows(FailedException.class, () -> store.append(group("lost"), true));
+            assertTrue(store.failed());
+            assertEquals(1, store.next());
+        }
+        disk.full = false;
+        store.append(group("after"), true);
+        assertFalse(store.failed());
+        store.close();
+        Store.open(disk, Store.Options.USUAL, replay).close();
+        assertEquals(List.of("0before", "1after"), held);
+    }
+
+    @Test
+    void whatAnotherKeySignedOrNoneIsNotRead() throws IOException {
+        fill(FIRST);
+        assertNotNull(Verify.of(disk, Keys.NONE, replay).damage());
+        assertNotNull(Verify.of(disk, Keys.parse("k", "1 " + "0c".repeat(32) + "\n"), replay).damage());
+        assertNull(Verify.of(disk, Keys.parse("k", BOTH), replay).damage());
+    }
+
+    @Test
+    void keysChangeWithoutAGapAndTheOldOneIsNeededUntilASnapshot() throws IOException {
+        Store store = Store.open(disk, options(FIRST, 1_000, 1 << 20), replay);
+        store.append(group("old"), true);
+        assertThrows(IllegalArgumentException.class,
+            () -> store.keys(Keys.parse("k", "2 " + "0b".repeat(32) + "\n")));
+        store.keys(Keys.parse("k", BOTH));
+        store.append(group("new"), true);
+        Keys onlyNew = Keys.parse("k", "2 " + "0b".repeat(32) + "\n");
+        assertNotNull(Verify.of(disk, onlyNew, Replay.NOBODY).damage());
+        Store.Snapshot snapshot = store.snapshot();
+        snapshot.add(new byte[] {1});
+        snapshot.finish();
+        store.close();
+        assertNull(Verify.of(disk, onlyNew, Replay.NOBODY).damage());
+    }
+
+    @Test
+    void aKeyFileIsRefusedInOneLineThatShowsNoKey() throws IOException {
+        for (String wrong : List.of("", "1 0a0b\n", "0 " + "0a".repeat(32) + "\n", FIRST + FIRST, FIRST + "2 zz\n",
+                FIRST + "2 0a", "# nothing\n", "1\n", "1 " + "0a".repeat(300) + "\n")) {
+            IOException e = assertThrows(IOException.class, () -> Keys.parse("file", wrong), wrong);
+            assertFalse(e.getMessage().contains("0a") || e.getMessage().contains("\n"), e.getMessage());
+        }
+        Path file = folder.resolve("keys");
+        Files.writeString(file, FIRST);
+        Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-r-----"));
+        assertThrows(IOException.class, () -> Keys.read(file));
+        Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
+        assertEquals(1, Keys.read(file).signing());
+    }
+
+    @Test
+    void aThreadWritesForThoseWhoMayNotWaitAndAFullQueueTurnsAway() throws Exception {
+        Store store = Store.open(new FolderDisk(folder.resolve("g")), Store.Options.USUAL, replay);
+        GroupCommit commit = new GroupCommit(store, new GroupCommit.Settings(GroupCommit.Policy.GROUP, 500, 64, 16),
+            System::nanoTime, "writer");
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        assertTrue(commit.run(its -> {
+            begun.countDown();
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }));
+        assertTrue(begun.await(10, TimeUnit.SECONDS));
+        AtomicInteger kept = new AtomicInteger();
+        AtomicInteger turnedAway = new AtomicInteger();
+        List<Long> numbers = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            boolean taken = commit.offer(("r" + i).getBytes(StandardCharsets.US_ASCII), new GroupCommit.Told() {
+                @Override
+                public void kept(long number) {
+                    numbers.add(number);
+                    kept.incrementAndGet();
+                }
+
+                @Override
+                public void lost(IOException why) {
+                    throw new AssertionError(why);
+                }
+            });
+            turnedAway.addAndGet(taken ? 0 : 1);
+        }
+        assertEquals(24, turnedAway.get());
+        held.countDown();
+        commit.close();
+        assertEquals(16, kept.get());
+        assertEquals(List.of(0L, 1L, 2L, 3L), numbers.subList(0, 4));
+        assertFalse(commit.offer(new byte[1], null), "it has ended");
+        Store.open(new FolderDisk(folder.resolve("g")), Store.Options.USUAL, replay).close();
+        assertEquals(16, this.held.size());
+        assertEquals("15r15", this.held.get(15));
+    }
+}
