--- a/src/main/java/gatefront/ledger/Entry.java
+++ b/src/main/java/gatefront/ledger/Entry.java
@@ -30,7 +30,7 @@
     /** Checks what came from outside. */
     public Entry {
         String wrong = period < 0 ? "its period is before time began"
-            : tenant.length() > TEXT_MOST || type.length() > TEXT_MOST || why.length() > TEXT_MOST ? "a text is too long"
+            : Math.max(tenant.length(), Math.max(type.length(), why.length())) > TEXT_MOST ? "a text is too long"
             : (kind == Kind.CORRECTION) != (corrects != null) ? "a correction names the entry corrected, no other does"
             : kind == Kind.CORRECTION && why.isBlank() ? "a correction says why"
             : kind == Kind.CLOSED && (amounts.requests() < 0 || !tenant.isEmpty()) ? "a close tells how many entries"
