Books of an instance on storage, the export's decisions, and ledger commands for staff

Need: the ledger was a value in memory. It is to be kept over crashes, exported so that each entry has its effect once, and looked into, corrected and compared by staff.

gatefront.bookkeeping: an instance's books in a store, entries as protobuf messages, as JSON lines and CSV. ledger.Export, pure: what is sent to the receiver and from where on after an answer, with back-off and jitter. Commands ledger show, verify, export, reconcile, correct, with exit codes and one line for each fault. Two guards that no test held have theirs: nothing unsigned follows what is signed, and a frame of another file is none.

Not yet: the agent does not fill it.

--- /dev/null
+++ b/src/main/java/gatefront/bookkeeping/EntryCodec.java
@@ -0,0 +1,94 @@
+package gatefront.bookkeeping;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import gatefront.ledger.Amounts;
+import gatefront.ledger.Entry;
+import gatefront.ledger.EntryId;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/** An entry as a protobuf message; its fields are in {@code docs/design/ledger.md}. Unknown fields are skipped. */
+public final class EntryCodec {
+    private static final int INSTANCE = 1;
+    private static final int EPOCH = 2;
+    private static final int SEQUENCE = 3;
+    private static final int KIND = 4;
+    private static final int PERIOD = 5;
+    private static final int TENANT = 6;
+    private static final int TYPE = 7;
+    private static final int REQUESTS = 8;
+    private static final int WORTH = 9;
+    private static final int WORK = 10;
+    private static final int BYTES = 11;
+    private static final int OF_INSTANCE = 12;
+    private static final int OF_EPOCH = 13;
+    private static final int OF_SEQUENCE = 14;
+    private static final int WHY = 15;
+
+    private EntryCodec() { }
+
+    /** The message. */
+    public static byte[] write(Entry entry) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        try {
+            out.writeString(INSTANCE, entry.id().instance());
+            out.writeUInt64(EPOCH, entry.id().epoch());
+            out.writeUInt64(SEQUENCE, entry.id().sequence());
+            out.writeEnum(KIND, entry.kind().ordinal());
+            out.writeUInt64(PERIOD, entry.period());
+            out.writeString(TENANT, entry.tenant());
+            out.writeString(TYPE, entry.type());
+            out.writeSInt64(REQUESTS, entry.amounts().requests());
+            out.writeSInt64(WORTH, entry.amounts().worth());
+            out.writeSInt64(WORK, entry.amounts().work());
+            out.writeSInt64(BYTES, entry.amounts().bytes());
+            if (entry.corrects() != null) {
+                out.writeString(OF_INSTANCE, entry.corrects().instance());
+                out.writeUInt64(OF_EPOCH, entry.corrects().epoch());
+                out.writeUInt64(OF_SEQUENCE, entry.corrects().sequence());
+            }
+            out.writeString(WHY, entry.why());
+            out.flush();
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // an array takes all
+        }
+        return bytes.toByteArray();
+    }
+
+    /** The entry of a message, which may come from anywhere. */
+    public static Entry read(byte[] bytes, int from) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes, from, bytes.length - from);
+        String[] texts = new String[WHY + 1];
+        long[] numbers = new long[WHY + 1];
+        for (int tag; (tag = in.readTag()) != 0;) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            boolean known = field <= WHY;
+            if (known && WireFormat.getTagWireType(tag) == WireFormat.WIRETYPE_LENGTH_DELIMITED) {
+                texts[field] = in.readStringRequireUtf8();
+            } else if (known && WireFormat.getTagWireType(tag) == WireFormat.WIRETYPE_VARINT) {
+                numbers[field] = field >= REQUESTS && field <= BYTES ? in.readSInt64() : in.readUInt64();
+            } else if (!in.skipField(tag)) {
+                throw new IOException("an entry ends in the middle of a group");
+            }
+        }
+        if (numbers[KIND] < 0 || numbers[KIND] >= Entry.Kind.values().length || texts[INSTANCE] == null) {
+            throw new IOException("an entry has no id, or is of no kind that is known here");
+        }
+        try {
+            return new Entry(new EntryId(texts[INSTANCE], numbers[EPOCH], numbers[SEQUENCE]),
+                Entry.Kind.values()[(int) numbers[KIND]], numbers[PERIOD], text(texts[TENANT]), text(texts[TYPE]),
+                new Amounts(numbers[REQUESTS], numbers[WORTH], numbers[WORK], numbers[BYTES]),
+                texts[OF_INSTANCE] == null ? null
+                    : new EntryId(texts[OF_INSTANCE], numbers[OF_EPOCH], numbers[OF_SEQUENCE]), text(texts[WHY]));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private static String text(String text) {
+        return text == null ? "" : text;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/bookkeeping/Lines.java
@@ -0,0 +1,68 @@
+package gatefront.bookkeeping;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import gatefront.ledger.Entry;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.Locale;
+
+/** Entries on paper, a line each: JSON and CSV (RFC 4180). */
+public final class Lines {
+    /** The names of the columns. */
+    public static final String CSV_HEAD = "id,kind,period,tenant,class,requests,"
+        + "worth_millionths,work_us,bytes,corrects,why";
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private Lines() { }
+
+    /** As an object of JSON. */
+    public static String json(Entry entry) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeStringField("id", entry.id().toString());
+            out.writeStringField("kind", word(entry));
+            out.writeNumberField("period", entry.period());
+            out.writeStringField("tenant", entry.tenant());
+            out.writeStringField("class", entry.type());
+            out.writeNumberField("requests", entry.amounts().requests());
+            out.writeNumberField("worth_millionths", entry.amounts().worth());
+            out.writeNumberField("work_us", entry.amounts().work());
+            out.writeNumberField("bytes", entry.amounts().bytes());
+            if (entry.corrects() != null) {
+                out.writeStringField("corrects", entry.corrects().toString());
+                out.writeStringField("why", entry.why());
+            }
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // a string takes all
+        }
+        return text.toString();
+    }
+
+    /** As a line of {@link #CSV_HEAD}. */
+    public static String csv(Entry entry) {
+        return entry.id() + "," + word(entry) + "," + entry.period() + "," + quoted(entry.tenant()) + ","
+            + quoted(entry.type()) + "," + entry.amounts().requests() + "," + entry.amounts().worth() + ","
+            + entry.amounts().work() + "," + entry.amounts().bytes() + ","
+            + (entry.corrects() == null ? "" : entry.corrects()) + "," + quoted(entry.why());
+    }
+
+    /** A string of JSON, with its quotes. */
+    public static String quotedJson(String text) {
+        return "\"" + new String(JsonStringEncoder.getInstance().quoteAsString(text)) + "\"";
+    }
+
+    /** What an entry is called. */
+    public static String word(Entry entry) {
+        return entry.kind().name().toLowerCase(Locale.ROOT);
+    }
+
+    private static String quoted(String text) {
+        // A sheet takes a cell that begins so for a formula, and runs it.
+        String harmless = !text.isEmpty() && "=+-@\t\r".indexOf(text.charAt(0)) >= 0 ? "'" + text : text;
+        return harmless.matches("[^\",\r\n]*") ? harmless : "\"" + harmless.replace("\"", "\"\"") + "\"";
+    }
+}
--- a/src/main/java/gatefront/storage/FolderDisk.java
+++ b/src/main/java/gatefront/storage/FolderDisk.java
@@ -29,7 +29,7 @@
     }
 
     /** A folder that must be there, for one who only looks. */
-    static FolderDisk existing(Path folder) throws IOException {
+    public static FolderDisk existing(Path folder) throws IOException {
         if (!Files.isDirectory(folder)) {
             throw new IOException(folder + " is no folder");
         }
--- /dev/null
+++ b/src/test/java/gatefront/bookkeeping/Receiver.java
@@ -0,0 +1,68 @@
+package gatefront.bookkeeping;
+
+import gatefront.ledger.Entry;
+import gatefront.ledger.Export;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * The stand-in that entries are exported to, as its contract says: it keeps the entries of an instance in the order of
+ * their numbers, takes each number once, and answers how many it has. What it may do besides: lose a request or an
+ * answer, answer twice or with an old answer, refuse, and go back to an older copy of itself.
+ */
+final class Receiver {
+    private final Random random;
+    private final List<Entry> has = new ArrayList<>();
+    private long last;
+    /** How many it will never forget: those of its last copy. */
+    private int copied;
+    int forgot;
+    int refused;
+
+    Receiver(long seed) {
+        random = new Random(seed);
+    }
+
+    /** What it has. */
+    List<Entry> has() {
+        return has;
+    }
+
+    /** How many of them stand in its copy. */
+    int copied() {
+        return copied;
+    }
+
+    /** It takes a batch; returns what answer comes, or none. */
+    Long take(Export.Batch batch, List<Entry> entries, boolean faults) {
+        int fault = faults ? random.nextInt(12) : 99;
+        if (fault == 0) {
+            return null; // the request is lost
+        }
+        if (fault == 1) {
+            refused++;
+            return null;
+        }
+        if (fault == 2) {
+            return last; // an answer of before
+        }
+        if (batch.from() <= has.size()) {
+            for (int i = (int) (has.size() - batch.from()); i < entries.size(); i++) {
+                has.add(entries.get(i));
+            }
+        }
+        last = has.size();
+        if (fault == 3) {
+            return null; // the answer is lost
+        }
+        if (fault == 4 && has.size() > copied) {
+            forgot += has.size() - copied;
+            has.subList(copied, has.size()).clear(); // it confirms and forgets
+        }
+        if (random.nextInt(8) == 0) {
+            copied = has.size();
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/src/test/java/gatefront/cli/LedgerCommandTest.java
@@ -0,0 +1,119 @@
+package gatefront.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gatefront.bookkeeping.Books;
+import gatefront.ledger.Amounts;
+import gatefront.ledger.Ledger;
+import gatefront.storage.FolderDisk;
+import gatefront.storage.Store;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The ledger's commands by their exit status and what they print. */
+class LedgerCommandTest {
+    @TempDir
+    private Path dir;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... args) {
+        out.reset();
+        err.reset();
+        return Main.run(args, new PrintStream(out), new PrintStream(err));
+    }
+
+    private String books(String name, String instance, long requests) throws IOException {
+        Path folder = dir.resolve(name);
+        try (Books books = Books.open(new FolderDisk(folder), Store.Options.USUAL, instance)) {
+            books.use(7, Map.of(new Ledger.Cell(7, "mitla", "pago"), new Amounts(requests, 8_000_000, 5, 6)));
+            books.use(7, Map.of(new Ledger.Cell(7, "=1+1", "a,\"b\""), new Amounts(1, 0, 0, 0)));
+            books.close(7);
+        }
+        return folder.toString();
+    }
+
+    @Test
+    void totalsAreShownAndAPartThatIsNotKnownIsNamed() throws IOException {
+        String folder = books("a", "agente-1", 4);
+        assertEquals(0, run("ledger", "show", folder, "--expect", "agente-1,agente-2"));
+        assertTrue(out.toString().contains("mitla                pago                            4"), out.toString());
+        assertTrue(out.toString().contains("the part of agente-2 is not known"), out.toString());
+        assertTrue(!out.toString().contains("the part of agente-1"), out.toString());
+        assertEquals(0, run("ledger", "show", folder, "--period", "8"));
+        assertTrue(!out.toString().contains("mitla"));
+        assertEquals(0, run("ledger", "show", folder, "--json"));
+        assertTrue(out.toString().contains("{\"period\":7,\"tenant\":\"mitla\",\"class\":\"pago\",\"requests\":4,"));
+        assertTrue(out.toString().contains("\"class\":\"a,\\\"b\\\"\""), out.toString());
+    }
+
+    @Test
+    void entriesArePrintedAndNoCellOfASheetIsAFormula() throws IOException {
+        String folder = books("a", "agente-1", 4);
+        assertEquals(0, run("ledger", "export", folder, "--csv"));
+        assertTrue(out.toString().contains("agente-1/0/0,use,7,mitla,pago,4,8000000,5,6,,\n"), out.toString());
+        assertTrue(out.toString().contains("agente-1/0/1,use,7,'=1+1,\"a,\"\"b\"\"\",1,0,0,0,,\n"), out.toString());
+        assertEquals(0, run("ledger", "export", folder));
+        assertEquals(3, out.toString().lines().count());
+    }
+
+    @Test
+    void damageIsNamedInOneLineWithItsPlace() throws IOException {
+        String folder = books("a", "agente-1", 4);
+        assertEquals(0, run("ledger", "verify", folder));
+        assertTrue(out.toString().startsWith("whole: 3 entries, 1 segments"), out.toString());
+        Path file;
+        try (Stream<Path> files = Files.list(Path.of(folder))) {
+            file = files.filter(each -> each.toString().endsWith(".log")).max(Comparator.naturalOrder()).orElseThrow();
+        }
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[300] ^= 1;
+        Files.write(file, bytes);
+        assertEquals(Commands.BROKEN, run("ledger", "verify", folder));
+        assertEquals("DAMAGED " + file.getFileName() + " at 189: is not what was forced to the disk there",
+            out.toString().strip());
+        assertEquals(1, run("ledger", "show", folder), "nothing is shown of books that are damaged");
+        assertEquals(1, run("ledger", "verify", dir.resolve("nowhere").toString()));
+        assertEquals(1, err.toString().lines().count(), err.toString());
+    }
+
+    @Test
+    void booksThatDifferAreToldWhere() throws IOException {
+        String one = books("a", "agente-1", 4);
+        String same = books("b", "agente-1", 4);
+        String other = books("c", "agente-1", 5);
+        assertEquals(0, run("ledger", "reconcile", one, same));
+        assertEquals(Commands.BROKEN, run("ledger", "reconcile", one, other));
+        assertTrue(out.toString().startsWith("agente-1/0/0 is not the same in both: {"), out.toString());
+        assertTrue(out.toString().contains("1 differences"), out.toString());
+    }
+
+    @Test
+    void aCorrectionIsAnEntryMore() throws IOException {
+        String folder = books("a", "agente-1", 4);
+        assertEquals(0, run("ledger", "correct", folder, "agente-1/0/0", "--period", "8", "--requests", "-1",
+            "--why", "a test terminal"));
+        assertEquals(0, run("ledger", "show", folder));
+        assertTrue(out.toString().contains("period 8"), out.toString());
+        assertTrue(out.toString().contains("-1"), out.toString());
+        assertEquals(1, run("ledger", "correct", folder, "agente-1/0/9", "--period", "8", "--requests", "-1",
+            "--why", "no such entry"));
+        assertEquals(2, run("ledger", "correct", folder, "agente-1", "--period", "8", "--requests", "-1",
+            "--why", "x"));
+        assertEquals(2, run("ledger", "correct", folder, "agente-1/0/0", "--period", "8", "--why", "of nothing"));
+        try (Books held = Books.open(new FolderDisk(Path.of(folder)), Store.Options.USUAL, "agente-1")) {
+            assertEquals(1, run("ledger", "correct", folder, "agente-1/0/0", "--period", "8", "--requests", "-1",
+                "--why", "while the agent runs"));
+            assertTrue(err.toString().contains("somebody else has this store open"), err.toString());
+        }
+    }
+}
--- a/src/test/java/gatefront/storage/MemoryDisk.java
+++ b/src/test/java/gatefront/storage/MemoryDisk.java
@@ -122,6 +122,10 @@
         faultAt = -1;
     }
 
+    boolean isOff() {
+        return off;
+    }
+
     /** Changes one bit of a file. */
     void flip(String name, int at, int bit) {
         names.get(name).seen[at] ^= 1 << bit;
--- a/src/test/java/gatefront/storage/StoreTest.java
+++ b/src/test/java/gatefront/storage/StoreTest.java
@@ -127,6 +127,9 @@
             Verify verify = Verify.of(disk, Keys.NONE, Replay.NOBODY);
             // Of a log whose end is gone nothing on the disk can tell; a signature by count would need another place.
             assertEquals(i < logs.size() - 1, verify.damage() != null, logs.get(i) + ": " + verify);
+            if (i > 0 && i < logs.size() - 1) {
+                assertEquals(logs.get(i) + " at 0: is missing", verify.damage().getMessage());
+            }
             Disk.File again = disk.create(logs.get(i));
             ByteBuffer bytes = ByteBuffer.allocate((int) file.size());
             file.read(0, bytes);
@@ -228,6 +231,29 @@
         assertNull(Verify.of(disk, Keys.parse("k", BOTH), replay).damage());
     }
 
+    /** Somebody without the key adds a segment that is right in all else. */
+    @Test
+    void whatFollowsSignedFilesWithoutASignatureIsNotRead() throws IOException {
+        Store store = Store.open(disk, options(FIRST, 1_000, 1 << 20), replay);
+        store.append(group("a"), true);
+        store.close();
+        Scan scan = new Scan(disk, Keys.parse("keys", FIRST), replay).run();
+        Chain forged = new Chain(Keys.NONE);
+        forged.begin(scan.certain().last());
+        disk.create(Scan.segmentName(2)).write(0, Head.write(Head.Kind.SEGMENT, 2, scan.durableNext, scan.durable,
+            forged));
+        IOException e = assertThrows(IOException.class,
+            () -> Store.open(disk, options(FIRST, 1_000, 1 << 20), replay));
+        assertEquals(Scan.segmentName(2) + " at 72: its head is not signed, and what is before it is", e.getMessage());
+    }
+
+    @Test
+    void aFrameOfAnotherFileIsNone() {
+        ByteBuffer bytes = Frame.write(1, 5, Head.BYTES, group("a"), new Chain(Keys.NONE));
+        assertNotNull(Frame.read(bytes, 0, 1));
+        assertNull(Frame.read(bytes, 0, 2), "a disk may show an old file's blocks in a new one");
+    }
+
     @Test
     void keysChangeWithoutAGapAndTheOldOneIsNeededUntilASnapshot() throws IOException {
         Store store = Store.open(disk, options(FIRST, 1_000, 1 << 20), replay);
