An agent fills the ledger: counters on the loop, a thread that writes and closes its part

Need: the ledger had books and commands, and nothing that filled them.

engine.Usage counts requests, servers' time and bytes by municipio and class where a request is served; agent.LedgerKeeper hands that over now and then to a thread of its own. A slow disk makes nothing queue, what could not be written goes back to the counters, a process that takes over counts until the books are free, and damaged books refuse the start in one line. Set by [ledger] in the file of our own; without it nothing is loaded, and a request costs one look at a null.

No figure of cost yet.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -77,6 +77,8 @@
     private final HttpFront clients;
     /** What operators do with it; null where they have no door. */
     private final Operations operations;
+    /** Writes what municipios use; null where nobody wants it. */
+    private LedgerKeeper keeper;
     /** All of them, that over HTTP first. */
     private final List<Front> fronts = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -246,6 +248,14 @@
         Neighbour neighbour = shared == null || config.management() == null ? null : new Neighbour(shared,
             Long.toHexString(config.seed()) + "-" + Long.toHexString(sockets.wallMicros()), sockets::log);
         Agent agent = new Agent(config, extensions, sockets, neighbour, module);
+        if (extensions.ledger() != null) {
+            try {
+                agent.keeper = LedgerKeeper.open(sockets, extensions.ledger(), () -> agent.config);
+            } catch (IOException e) {
+                throw agent.unable(e.getMessage());
+            }
+            agent.engine.usage(agent.keeper.usage());
+        }
         if (agent.operations != null && !agent.operations.listen().awaitUninterruptibly().isSuccess()) {
             throw agent.unable("cannot listen on " + config.management() + " for the operators");
         }
@@ -269,6 +279,9 @@
 
     /** It cannot start: nothing of it is left, and another process is not to think that it is there. */
     private IOException unable(String why) {
+        if (keeper != null) {
+            keeper.abandon();
+        }
         if (operations != null) {
             operations.close();
         }
@@ -307,6 +320,9 @@
         if (operations != null) {
             operations.start();
         }
+        if (keeper != null) {
+            keeper.start();
+        }
         Discovery.Listing known;
         try {
             known = Discovery.decode(config.known(), config);
@@ -521,10 +537,15 @@
         if (operations != null) {
             operations.close();
         }
-        transport.close(() -> {
+        Runnable last = () -> transport.close(() -> {
             ended.countDown();
             whenEnded.run();
         });
+        if (keeper == null) {
+            last.run();
+        } else {
+            keeper.close(() -> loop.execute(last));
+        }
     }
 
     /** Whether it has ended since it could not take over from another process. */
--- a/src/main/java/gatefront/agent/Extensions.java
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -22,10 +22,12 @@
  * @param thrift how the agent speaks Thrift, or null if it does not
  * @param registry which registry it follows, or null if none
  * @param memory where what it holds is shown, and other caps; or null
+ * @param ledger where use by municipio is written, or null if it is not
  */
-public record Extensions(ThriftSettings thrift, RegistrySettings registry, MemoryTable memory) {
+public record Extensions(ThriftSettings thrift, RegistrySettings registry, MemoryTable memory,
+                         LedgerTable ledger) {
     /** None. */
-    public static final Extensions NONE = new Extensions(null, null, null);
+    public static final Extensions NONE = new Extensions(null, null, null, null);
     private static final int PORT_MOST = 65_535;
     private static final Map<String, Encoding> ENCODINGS = Map.of("binary", Encoding.BINARY, "binary-old",
         Encoding.BINARY_OLD, "compact", Encoding.COMPACT);
@@ -52,8 +54,9 @@
         ThriftSettings thrift = top.has("thrift") ? thrift(table, config) : null;
         RegistrySettings registry = top.has("registry") ? RegistryTable.read(top.table("registry")) : null;
         MemoryTable memory = top.has("memory") ? MemoryTable.read(top.table("memory")) : null;
+        LedgerTable ledger = top.has("ledger") ? LedgerTable.read(top.table("ledger")) : null;
         top.finish();
-        return new Extensions(thrift, registry, memory);
+        return new Extensions(thrift, registry, memory, ledger);
     }
 
     private static ThriftSettings thrift(Table table, Config config) throws TomlException {
--- /dev/null
+++ b/src/main/java/gatefront/agent/LedgerKeeper.java
@@ -0,0 +1,200 @@
+package gatefront.agent;
+
+import gatefront.bookkeeping.Books;
+import gatefront.config.Config;
+import gatefront.engine.Usage;
+import gatefront.ledger.Amounts;
+import gatefront.ledger.Ledger;
+import gatefront.ledger.Periods;
+import gatefront.storage.FolderDisk;
+import gatefront.storage.InUseException;
+import gatefront.storage.Keys;
+import gatefront.storage.Store;
+import gatefront.transport.Transport;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Fills an instance's books with what its engine has served. The loop counts, and hands over now and then what has
+ * come together; a thread of its own writes, so that the loop waits for no disk. One hand-over is out at a time: while
+ * it is, counts go on adding up where they are, so what waits is bounded by the cells there are, however slow the disk
+ * is. What could not be written is added to the next.
+ *
+ * <p>A process that takes over from another finds the books open there, and counts until they are not.
+ */
+final class LedgerKeeper {
+    private static final double MILLIONTHS = 1e6;
+
+    private final Transport transport;
+    private final LedgerTable table;
+    private final Supplier<Config> config;
+    private final Store.Options options;
+    private final Usage usage = new Usage();
+    private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "ledger");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Periods periods;
+    /** Of the loop: whether a hand-over is out, and what is handed over next. */
+    private boolean out;
+    private boolean ended;
+    private boolean failing;
+    private TreeMap<Ledger.Cell, Amounts> waiting = new TreeMap<>();
+    /** Of the writer: null while another process has them; and the first period that it has not closed. */
+    private Books books;
+    private long closed;
+
+    private LedgerKeeper(Transport transport, LedgerTable table, Supplier<Config> config, Store.Options options,
+                         Books books) {
+        this.transport = transport;
+        this.table = table;
+        this.config = config;
+        this.options = options;
+        this.books = books;
+        long last = 0;
+        for (long each : books == null ? List.<Long>of() : books.ledger().periods()) {
+            last = each;
+        }
+        this.periods = new Periods(table.periodMicros(), table.writeMicros(), last, transport.wallMicros());
+        this.closed = periods.closing();
+    }
+
+    /**
+     * Opens the books; those that another process has are waited for.
+     *
+     * @param config the configuration as it is now; asked on the loop
+     * @throws IOException with one line, if they cannot be used
+     */
+    static LedgerKeeper open(Transport transport, LedgerTable table, Supplier<Config> config) throws IOException {
+        Keys keys = table.keys() == null ? Keys.NONE : Keys.read(table.keys());
+        Store.Options options = new Store.Options(keys, Store.Options.USUAL.segmentBytes(), table.bytesMost());
+        Books books = null;
+        try {
+            books = Books.open(new FolderDisk(table.folder()), options, table.instance());
+        } catch (InUseException e) {
+            transport.log("ledger: another process writes the books; counting until it has ended");
+        } catch (IOException e) {
+            throw new IOException("ledger " + table.folder() + ": " + e.getMessage(), e);
+        }
+        return new LedgerKeeper(transport, table, config, options, books);
+    }
+
+    /** Where the engine counts. */
+    Usage usage() {
+        return usage;
+    }
+
+    /** Writes from now on. */
+    void start() {
+        transport.loop().scheduleWithFixedDelay(this::handOver, table.writeMicros(), table.writeMicros(),
+            TimeUnit.MICROSECONDS);
+    }
+
+    private void handOver() {
+        if (out || ended) {
+            return;
+        }
+        // What was served since the last time counts in the period that was open then.
+        take(periods.open());
+        periods.at(transport.wallMicros());
+        TreeMap<Ledger.Cell, Amounts> cells = waiting;
+        waiting = new TreeMap<>();
+        out = true;
+        long closing = periods.closing();
+        writer.execute(() -> write(cells, closing));
+    }
+
+    private void take(long period) {
+        Config now = config.get();
+        usage.take((tenant, type, requests, work, bytes) -> {
+            double worth = now.settings().classes().get(type).worth();
+            waiting.merge(new Ledger.Cell(period, now.tenants().isEmpty() ? "" : now.tenants().get(tenant),
+                now.classes().get(type)), new Amounts(requests, (long) (MILLIONTHS * worth * requests), work, bytes),
+                Amounts::plus);
+        });
+    }
+
+    /** On the writer: all that is handed over, or what is left of it goes back. */
+    private void write(TreeMap<Ledger.Cell, Amounts> cells, long closing) {
+        IOException fault = null;
+        try {
+            into(cells, closing);
+            books.compact();
+        } catch (IOException e) {
+            fault = e;
+        }
+        IOException told = fault;
+        try {
+            transport.loop().execute(() -> written(cells, told));
+        } catch (RejectedExecutionException e) {
+            transport.log("ledger: the agent has ended"); // what is left was told to be lost by its close
+        }
+    }
+
+    /** Writes cells, period by period, and closes all before one; what was written is no longer among the cells. */
+    private void into(TreeMap<Ledger.Cell, Amounts> cells, long closing) throws IOException {
+        if (books == null) {
+            books = Books.open(new FolderDisk(table.folder()), options, table.instance());
+        }
+        while (!cells.isEmpty()) {
+            long period = cells.firstKey().period();
+            Map<Ledger.Cell, Amounts> of = cells.headMap(new Ledger.Cell(period + 1, "", ""));
+            books.use(period, of);
+            of.clear();
+        }
+        for (; closed < closing; closed++) { // what could not be written before has been, by now
+            books.close(closed);
+        }
+    }
+
+    private void written(TreeMap<Ledger.Cell, Amounts> left, IOException fault) {
+        out = false;
+        left.forEach((cell, amounts) -> waiting.merge(cell, amounts, Amounts::plus));
+        if (fault != null && !failing && !(fault instanceof InUseException)) {
+            transport.log("ledger: not written, and tried again: " + fault.getMessage());
+        } else if (fault == null && failing) {
+            transport.log("ledger: written again, nothing is missing");
+        }
+        failing = fault != null && !(fault instanceof InUseException);
+    }
+
+    /** Writes what is left and closes the books; called on the loop, done on the writer. */
+    void close(Runnable then) {
+        ended = true;
+        take(periods.open());
+        TreeMap<Ledger.Cell, Amounts> cells = waiting;
+        long end = periods.open() + 1;
+        writer.execute(() -> {
+            try {
+                if (books != null || !cells.isEmpty()) {
+                    into(cells, end); // this life makes no more entries: its part of what is open is whole, too
+                    books.close();
+                }
+            } catch (IOException e) {
+                transport.log("ledger: what was served since it was last written is lost: " + e.getMessage());
+            }
+            then.run();
+        });
+        writer.shutdown();
+    }
+
+    /** Closes the books of an agent that never came up. */
+    void abandon() {
+        try {
+            if (books != null) {
+                books.close();
+            }
+        } catch (IOException e) {
+            transport.log("ledger: " + e.getMessage());
+        }
+        writer.shutdown();
+    }
+}
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -45,6 +45,8 @@
     private final Account listed;
     private final ClassLimits limits;
     private final Tally tally;
+    /** Where use is counted; null where nobody wants it. */
+    private Usage usage;
     /**
      * Calls taken and not yet done with, by the module's ids, by their exchanges and by their callers' ids: each
      * goes when it is answered and no attempt is out, which its own guard sees to at its deadline at the latest.
@@ -82,6 +84,7 @@
         boolean answered;
         /** Whether an answer is on its way to the caller in pieces. */
         boolean passing;
+        Payload passed;
         Future<?> guard;
 
         Pending(long id, Call call, Exchange exchange, Upstream upstream) {
@@ -145,6 +148,11 @@
         return tally;
     }
 
+    /** Counts use there from now on. */
+    public void usage(Usage into) {
+        usage = into;
+    }
+
     /** How many servers are listed; to be asked on its loop. */
     public int listed() {
         return names.size();
@@ -342,7 +350,7 @@
         if (!pending.answered && pending.passing) {
             // The front has had the whole of it, or knows that it breaks off.
             if (result.outcome() == Balancer.Outcome.OK) {
-                tally.served(pending.call.requestClass());
+                served(pending, spent, pending.passed);
             } else {
                 tally.failed(pending.call.requestClass());
             }
@@ -353,7 +361,7 @@
             answered(pending);
         } else if (!pending.answered && result.served() != null) {
             pending.exchange.served(result.served());
-            tally.served(pending.call.requestClass());
+            served(pending, spent, result.served());
             answered(pending);
         }
         Balancer.Outcome outcome = bad ? Balancer.Outcome.CANCELLED : result.outcome();
@@ -362,6 +370,14 @@
             spent, pending.answered, result.load()));
     }
 
+    private void served(Pending pending, long spent, Payload answer) {
+        tally.served(pending.call.requestClass());
+        if (usage != null) {
+            usage.served(pending.call.tenant(), pending.call.requestClass(), spent,
+                pending.call.payload().bytes() + answer.bytes());
+        }
+    }
+
     private void answered(Pending pending) {
         pending.answered = true;
         tally.ended();
@@ -433,6 +449,7 @@
                     return;
                 }
                 pending.passing = true;
+                pending.passed = answer;
                 pending.guard.cancel(false);
                 begins();
                 pending.exchange.served(answer);
--- a/src/main/java/gatefront/engine/Flow.java
+++ b/src/main/java/gatefront/engine/Flow.java
@@ -42,6 +42,7 @@
     private final Giver giver;
     private final Deque<ByteBuf> waiting = new ArrayDeque<>();
     private int held;
+    private long passed;
     private Taker taker;
     private boolean full;
     private boolean stopped;
@@ -111,6 +112,11 @@
         }
     }
 
+    /** How many bytes have passed. */
+    public long passed() {
+        return passed;
+    }
+
     /** Whether its giver may still give. */
     public boolean isOpen() {
         return state == State.OPEN;
@@ -126,6 +132,7 @@
             ByteBuf piece = waiting.poll();
             int bytes = piece.readableBytes();
             held -= bytes;
+            passed += bytes;
             full = !taker.piece(piece);
             giver.passed(bytes);
         }
--- a/src/main/java/gatefront/engine/Payload.java
+++ b/src/main/java/gatefront/engine/Payload.java
@@ -6,4 +6,9 @@
     default Flow flow() {
         return null;
     }
+
+    /** Bytes of its body that are here, or have passed. */
+    default long bytes() {
+        return 0;
+    }
 }
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -47,11 +47,21 @@
         public Outgoing(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
             this(method, uri, headers, body, null, body.length);
         }
+
+        @Override
+        public long bytes() {
+            return flow == null ? body.length : flow.passed();
+        }
     }
 
     /** A served answer: the body, whole or in pieces, its length if known, and what tells how to read it. */
     record Served(byte[] body, Flow flow, long length, String contentType, String contentEncoding)
-        implements Payload { }
+            implements Payload {
+        @Override
+        public long bytes() {
+            return flow == null ? body.length : flow.passed();
+        }
+    }
 
     /** The status of an answer that blames the request. */
     record Rejection(HttpResponseStatus status) implements Payload { }
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -43,7 +43,7 @@
 
     /** What it does besides. */
     final Extensions besides() {
-        return new Extensions(thrift(), day.padron.registry(number), null);
+        return new Extensions(thrift(), day.padron.registry(number), null, null);
     }
 
     /** How it speaks Thrift, or null if it does not. */
--- a/src/main/java/gatefront/storage/Store.java
+++ b/src/main/java/gatefront/storage/Store.java
@@ -84,7 +84,7 @@
     public static Store open(Disk disk, Options options, Replay replay) throws IOException {
         Closeable lock = disk.lock();
         if (lock == null) {
-            throw new IOException("somebody else has this store open");
+            throw new InUseException();
         }
         Store store = null;
         try {
--- a/src/main/java/gatefront/thrift/ThriftCall.java
+++ b/src/main/java/gatefront/thrift/ThriftCall.java
@@ -12,6 +12,11 @@
  * @param timeoutBytes how many bytes it takes there
  */
 record ThriftCall(Message message, int timeoutAt, int timeoutBytes) implements Payload {
+    @Override
+    public long bytes() {
+        return message.body().length;
+    }
+
     /**
      * The arguments, byte for byte but for the time: in its place and of its length is what is left. What is left is
      * never more than there was, so in the compact protocol its varint fits, with groups of zeros behind.
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -63,6 +63,7 @@
         .whereLayer("limits").mayNotAccessAnyLayer()
         .whereLayer("storage").mayNotAccessAnyLayer()
         .whereLayer("ledger").mayNotAccessAnyLayer()
+        .whereLayer("bookkeeping").mayOnlyBeAccessedByLayers("agent", "cli")
         .whereLayer("bookkeeping").mayOnlyAccessLayers("ledger", "storage")
         .whereLayer("management").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("management").mayOnlyAccessLayers("membership", "policy", "status", "transport")
--- a/src/test/java/gatefront/agent/ThriftStage.java
+++ b/src/test/java/gatefront/agent/ThriftStage.java
@@ -114,7 +114,7 @@
         }
         methods.put("undeclared", new Method(classes.indexOf("lookup"), false));
         agent = Agent.start(read, new Extensions(new ThriftSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null,
-            port, form.framed(), true, methods), null, null));
+            port, form.framed(), true, methods), null, null, null));
         Stage.await(() -> agent.isReady());
         return this;
     }
