--- a/src/main/java/gatefront/policy/Rules.java
+++ b/src/main/java/gatefront/policy/Rules.java
@@ -26,8 +26,8 @@
     /** Servers of the own zone that a light agent draws from: two to compare, and as many may fail. */
     private static final int SUBSET_LEAST = 3;
     private static final int SUBSET_FAR = 2; // and of other zones, where its own has no room: two to compare
-    /** Agents that must share a server on average, so that the random subsets load it evenly. */
-    private static final int SUBSET_SHARERS = 20;
+    /** Agents that share a server on average: enough to load it evenly, so few that each comes there often. */
+    private static final int SUBSET_SHARERS = 10;
     /** Servers in the subset for each one that this agent's requests would keep busy. */
     private static final double SUBSET_SPREAD = 4;
     private static final int PROBE_THRESHOLD = 2; // failed probes in a row that make a server Unhealthy
