--- a/src/test/java/gatefront/rehearsal/FleetRehearsalTest.java
+++ b/src/test/java/gatefront/rehearsal/FleetRehearsalTest.java
@@ -47,7 +47,8 @@
         Crowd crowd = play("mass-join", 18).record().crowd;
         assertTrue(crowd.coldPart() > 0.6, "cold nodos were sent " + crowd.coldPart() + " of what they could do");
         assertTrue(crowd.besideRoomPart() < 0.7, "refused beside room: " + crowd.besideRoomPart());
-        assertTrue(crowd.firstMeetings() < 100 * 96 / 2, crowd.firstMeetings() + " first meetings");
+        // 3,257 with twice as many nodos to draw from: each agent then knew a nodo half as well.
+        assertTrue(crowd.firstMeetings() < 2_800, crowd.firstMeetings() + " first meetings");
     }
 
     @Test
