The ledger outlives listeners that fail and a clock that jumps a thousand years

Need: found on reading the whole change. One listener that failed ended the thread of GroupCommit and left all others without an answer; a RuntimeException in LedgerKeeper's write left its hand-over out for ever; a clock that jumps over millions of periods would have closed each by an entry.

Faults of who is told are kept apart; a record that no frame holds is refused to its owner; of periods that a clock passes only those with use are closed. Measured: StoreTest.oneWhoFailsWhenTold..., LedgerClockTest (a jump of a thousand years over periods of a second: under ten entries, all parts whole).

--- a/src/main/java/gatefront/agent/LedgerKeeper.java
+++ b/src/main/java/gatefront/agent/LedgerKeeper.java
@@ -31,6 +31,8 @@
  */
 final class LedgerKeeper {
     private static final double MILLIONTHS = 1e6;
+    /** Periods without use that are closed one by one; a clock may jump over millions. */
+    private static final long PASSED_MOST = 100;
 
     private final Transport transport;
     private final LedgerTable table;
@@ -130,6 +132,8 @@
             books.compact();
         } catch (IOException e) {
             fault = e;
+        } catch (RuntimeException e) { // a fault of ours, or sums beyond a number: counting goes on, and staff hear
+            fault = new IOException(e.toString(), e);
         }
         IOException told = fault;
         try {
@@ -150,6 +154,12 @@
             books.use(period, of);
             of.clear();
         }
+        if (closing - closed > PASSED_MOST) { // the clock has jumped: what it passed was never open here
+            for (long period : books.unclosed()) {
+                books.close(period);
+            }
+            closed = closing - 1;
+        }
         for (; closed < closing; closed++) { // what could not be written before has been, by now
             books.close(closed);
         }
--- a/src/main/java/gatefront/bookkeeping/Books.java
+++ b/src/main/java/gatefront/bookkeeping/Books.java
@@ -198,6 +198,11 @@
         made.remove(period);
     }
 
+    /** The periods of which this epoch has made entries and that it has not closed. */
+    public List<Long> unclosed() {
+        return List.copyOf(made.keySet());
+    }
+
     private EntryId id(int ahead) {
         return new EntryId(held.instance, epoch, sequence + ahead);
     }
--- a/src/main/java/gatefront/storage/GroupCommit.java
+++ b/src/main/java/gatefront/storage/GroupCommit.java
@@ -75,8 +75,15 @@
         thread.start();
     }
 
-    /** Hands a record over, from any thread; false if too many wait, or it has ended, and nobody is told then. */
+    /**
+     * Hands a record over, from any thread; false if too many wait, or it has ended, and nobody is told then.
+     *
+     * @throws IllegalArgumentException if no frame could hold it
+     */
     public boolean offer(byte[] record, Told told) {
+        if (Frame.room(record) > Frame.BODY_MOST) {
+            throw new IllegalArgumentException("a record of " + record.length + " bytes is too large");
+        }
         return offer(new Item(record, told, null));
     }
 
@@ -111,7 +118,7 @@
                 continue;
             }
             if (first.task != null) {
-                first.task.accept(store);
+                guarded(() -> first.task.accept(store));
                 continue;
             }
             gather(group, first);
@@ -170,11 +177,24 @@
             why = e;
         }
         for (Item each : group) {
-            if (why == null) {
-                each.told.kept(number++);
-            } else {
-                each.told.lost(why);
-            }
+            long its = number++;
+            IOException lost = why;
+            guarded(() -> {
+                if (lost == null) {
+                    each.told.kept(its);
+                } else {
+                    each.told.lost(lost);
+                }
+            });
+        }
+    }
+
+    /** Guards against a fault of one who is told, or asks, that would leave all others without an answer. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
         }
     }
 
--- /dev/null
+++ b/src/test/java/gatefront/agent/LedgerClockTest.java
@@ -0,0 +1,72 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gatefront.bookkeeping.Books;
+import gatefront.config.Config;
+import gatefront.ledger.Ledger;
+import gatefront.storage.FolderDisk;
+import gatefront.storage.Keys;
+import gatefront.storage.Verify;
+import gatefront.transport.SocketTransport;
+import gatefront.transport.Transport;
+import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A keeper whose wall clock jumps. */
+class LedgerClockTest {
+    private static final long SECOND = 1_000_000;
+    @TempDir
+    private Path folder;
+
+    private Books.Look look() throws Exception {
+        Books.Look[] look = new Books.Look[1];
+        Verify.of(FolderDisk.existing(folder.resolve("books")), Keys.NONE, Books.looking(at -> look[0] = at));
+        return look[0];
+    }
+
+    /** Periods of a second, and a clock that jumps by a thousand years and back: a few entries, not 30,000,000,000. */
+    @Test
+    void aClockThatJumpsOverMillionsOfPeriodsClosesWhatHadUseAndNoMore() throws Exception {
+        SocketTransport sockets = new SocketTransport();
+        AtomicLong wall = new AtomicLong(1_000 * SECOND);
+        Transport transport = (Transport) Proxy.newProxyInstance(Transport.class.getClassLoader(),
+            new Class<?>[] {Transport.class}, (proxy, method, args) ->
+                method.getName().equals("wallMicros") ? wall.get() : method.invoke(sockets, args));
+        Config config = Config.of(new ObjectMapper().readTree(
+            Files.readAllBytes(Path.of("src/test/resources/config.json"))));
+        LedgerKeeper keeper = LedgerKeeper.open(transport, new LedgerTable(folder.resolve("books"), "a", null, SECOND,
+            SECOND / 10, 1 << 20), () -> config);
+        keeper.start();
+        Thread.sleep(300);
+        wall.addAndGet(1_000L * 365 * 86_400 * SECOND);
+        Stage.await(() -> {
+            try {
+                return look().ledger().size() > 0;
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        wall.set(1_001 * SECOND);
+        CountDownLatch closed = new CountDownLatch(1);
+        sockets.loop().execute(() -> keeper.close(closed::countDown));
+        assertTrue(closed.await(10, TimeUnit.SECONDS));
+        Ledger ledger = look().ledger();
+        assertTrue(ledger.size() < 10, ledger.size() + " entries");
+        for (long period : ledger.periods()) {
+            assertEquals(List.of(Ledger.Part.WHOLE), List.copyOf(ledger.standing(period, List.of()).values()));
+        }
+        CountDownLatch gone = new CountDownLatch(1);
+        sockets.close(gone::countDown);
+        assertTrue(gone.await(10, TimeUnit.SECONDS));
+    }
+}
--- a/src/test/java/gatefront/storage/StoreTest.java
+++ b/src/test/java/gatefront/storage/StoreTest.java
@@ -286,6 +286,33 @@
         assertEquals(1, Keys.read(file).signing());
     }
 
+    @Test
+    void oneWhoFailsWhenToldLeavesTheOthersTheirAnswer() throws Exception {
+        GroupCommit commit = new GroupCommit(Store.open(disk, Store.Options.USUAL, replay),
+            new GroupCommit.Settings(GroupCommit.Policy.GROUP, 500, 64, 16), System::nanoTime, "writer");
+        assertThrows(IllegalArgumentException.class, () -> commit.offer(new byte[Frame.BODY_MOST], null));
+        AtomicInteger kept = new AtomicInteger();
+        commit.run(its -> {
+            throw new IllegalStateException("one who asks");
+        });
+        for (int i = 0; i < 3; i++) {
+            commit.offer(new byte[1], new GroupCommit.Told() {
+                @Override
+                public void kept(long number) {
+                    kept.incrementAndGet();
+                    throw new IllegalStateException("one who is told");
+                }
+
+                @Override
+                public void lost(IOException why) {
+                    throw new AssertionError(why);
+                }
+            });
+        }
+        commit.close();
+        assertEquals(3, kept.get());
+    }
+
     @Test
     void aThreadWritesForThoseWhoMayNotWaitAndAFullQueueTurnsAway() throws Exception {
         Store store = Store.open(new FolderDisk(folder.resolve("g")), Store.Options.USUAL, replay);
