The ledger's end keeps a hand-over that failed, and never holds up the agent's own

Need: found on reading the change again. A write that failed while the agent was ending lost its cells, and the period was closed as whole without them; a RuntimeException there would have kept the agent from ending.

The failing write in mid-end has no test of its own.

--- a/src/main/java/gatefront/agent/LedgerKeeper.java
+++ b/src/main/java/gatefront/agent/LedgerKeeper.java
@@ -50,6 +50,8 @@
     private boolean ended;
     private boolean failing;
     private TreeMap<Ledger.Cell, Amounts> waiting = new TreeMap<>();
+    /** What was handed over last; the writer takes out what it has written. */
+    private TreeMap<Ledger.Cell, Amounts> handed = new TreeMap<>();
     /** Of the writer: null while another process has them; and the first period that it has not closed. */
     private Books books;
     private long closed;
@@ -109,6 +111,7 @@
         periods.at(transport.wallMicros());
         TreeMap<Ledger.Cell, Amounts> cells = waiting;
         waiting = new TreeMap<>();
+        handed = cells;
         out = true;
         long closing = periods.closing();
         writer.execute(() -> write(cells, closing));
@@ -139,7 +142,7 @@
         try {
             transport.loop().execute(() -> written(cells, told));
         } catch (RejectedExecutionException e) {
-            transport.log("ledger: the agent has ended"); // what is left was told to be lost by its close
+            transport.log("ledger: the agent has ended"); // its close wrote what is left, or told that it is lost
         }
     }
 
@@ -166,8 +169,12 @@
     }
 
     private void written(TreeMap<Ledger.Cell, Amounts> left, IOException fault) {
+        if (ended) {
+            return; // the close has what is left
+        }
         out = false;
         left.forEach((cell, amounts) -> waiting.merge(cell, amounts, Amounts::plus));
+        left.clear();
         if (fault != null && !failing && !(fault instanceof InUseException)) {
             transport.log("ledger: not written, and tried again: " + fault.getMessage());
         } else if (fault == null && failing) {
@@ -181,17 +188,20 @@
         ended = true;
         take(periods.open());
         TreeMap<Ledger.Cell, Amounts> cells = waiting;
+        TreeMap<Ledger.Cell, Amounts> before = handed;
         long end = periods.open() + 1;
         writer.execute(() -> {
             try {
+                before.forEach((cell, amounts) -> cells.merge(cell, amounts, Amounts::plus));
                 if (books != null || !cells.isEmpty()) {
                     into(cells, end); // this life makes no more entries: its part of what is open is whole, too
                     books.close();
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 transport.log("ledger: what was served since it was last written is lost: " + e.getMessage());
+            } finally {
+                then.run();
             }
-            then.run();
         });
         writer.shutdown();
     }
--- a/src/test/java/gatefront/agent/LedgerKeeperTest.java
+++ b/src/test/java/gatefront/agent/LedgerKeeperTest.java
@@ -93,6 +93,15 @@
         }
     }
 
+    @Test
+    void whatWasNeverWrittenWhileItRanIsWrittenAtItsEnd() throws Exception {
+        stage.start(Extensions.parse("x.toml", "[ledger]\nfolder = \"" + folder.resolve("books")
+            + "\"\ninstance = \"agente-1\"\nwrite_s = 3600\n", Config.of(stage.config)));
+        ask(2, "pay");
+        stage.agent.stop();
+        assertEquals(2, all(look().ledger(), "pay").requests());
+    }
+
     @Test
     void booksThatAnotherProcessHasAreWaitedForAndNothingIsMissing() throws Exception {
         Books other = Books.open(new FolderDisk(folder.resolve("books")), Store.Options.USUAL, "agente-1");
