A store that is lost no longer passes for an empty one: ledger verify says MISSING

Cause: Scan passed over names that are none of a store's and returned an empty log for a folder with nothing in it, so 'ledger verify' said 'whole: 0 entries' and ended with 0 for a lost disk or a wrong folder. An empty store is told apart without a mark of its own: Store.open writes a segment at once, so a folder without one never had a store or lost it.

Change: Verify says whether a store is there; the command answers MISSING and status 3, and names files that no store writes. An agent that begins new books says so in one line.

Measured: LedgerCommandTest fails without either part; the tests of storage and ledger pass.

--- a/src/main/java/gatefront/agent/LedgerKeeper.java
+++ b/src/main/java/gatefront/agent/LedgerKeeper.java
@@ -83,6 +83,10 @@
         Books books = null;
         try {
             books = Books.open(new FolderDisk(table.folder()), options, table.instance());
+            if (books.begun()) {
+                transport.log("ledger: " + table.folder()
+                    + " holds no books; they are begun now, or all of them are lost");
+            }
         } catch (InUseException e) {
             transport.log("ledger: another process writes the books; counting until it has ended");
         } catch (IOException e) {
--- a/src/main/java/gatefront/bookkeeping/Books.java
+++ b/src/main/java/gatefront/bookkeeping/Books.java
@@ -148,6 +148,11 @@
         return held.ledger;
     }
 
+    /** Whether there were none before: this is the instance's first start, or they are lost. */
+    public boolean begun() {
+        return epoch == 0;
+    }
+
     /** How many entries of its own it has made, in all its lives. */
     public long made() {
         return held.own.size();
--- a/src/main/java/gatefront/cli/LedgerCommand.java
+++ b/src/main/java/gatefront/cli/LedgerCommand.java
@@ -32,7 +32,7 @@
     LedgerCommand.VerifyFiles.class, LedgerCommand.Export.class, LedgerCommand.Differences.class,
     LedgerCommand.Correct.class},
     description = {"Look into the ledger of use by municipio, and correct it.", "Exit status: 0 all is well, "
-        + "3 damage or a difference, 2 wrong usage, 1 it cannot be done."})
+        + "3 damage, a lost store or a difference, 2 wrong usage, 1 it cannot be done."})
 final class LedgerCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -140,6 +140,10 @@
                 out().println("DAMAGED " + verify.damage().getMessage());
                 return Commands.BROKEN;
             }
+            if (!verify.there()) {
+                out().println("MISSING " + folder + ": no store is here; it was never begun, or all of it is lost");
+                return Commands.BROKEN;
+            }
             out().println("whole: " + entries[0] + " entries, " + verify.segments() + " segments, " + verify.records()
                 + " records beyond the snapshot");
             return 0;
--- a/src/main/java/gatefront/storage/Scan.java
+++ b/src/main/java/gatefront/storage/Scan.java
@@ -37,6 +37,8 @@
     private final Chain chain;
     /** Files that stand for nothing: unfinished ones, and those that a snapshot has taken the place of. */
     final List<String> leftOver = new ArrayList<>();
+    /** Names that no store gives. They are left alone. */
+    final List<String> strangers = new ArrayList<>();
     final List<Segment> segments = new ArrayList<>();
     /** Of the last segment, what no later frame speaks of. As much as was written at once and forced with it. */
     final List<Unsure> unsure = new ArrayList<>();
@@ -66,6 +68,11 @@
         return String.format(Locale.ROOT, "%016x%s", number, SNAPSHOT);
     }
 
+    /** Whether no store was ever begun here, or all of it is gone. */
+    boolean nothing() {
+        return segments.isEmpty() && snapshotName == null;
+    }
+
     /** The chain at the end of what is certain. */
     Chain certain() {
         return certain;
@@ -81,6 +88,9 @@
             } else if (name.endsWith(UNFINISHED)) {
                 leftOver.add(name);
                 notes.add(name + " was not finished; it stands for nothing");
+            } else {
+                strangers.add(name);
+                notes.add(name + " is no file of a store");
             }
         }
         if (!snapshots.isEmpty()) {
--- a/src/main/java/gatefront/storage/Verify.java
+++ b/src/main/java/gatefront/storage/Verify.java
@@ -6,13 +6,15 @@
 /**
  * What the files of a store are worth, without changing any. A store in use may have an unfinished write at its end.
  *
+ * @param there whether there is a store at all: an empty folder is not an empty store, which has a log
  * @param segments files of the log
  * @param records records that the log holds beyond the snapshot
  * @param snapshot the number of the first record that the snapshot does not hold; 0 without one
  * @param notes what was found that is no damage: a line each
  * @param damage the first damage, or null
  */
-public record Verify(int segments, long records, long snapshot, List<String> notes, DamageException damage) {
+public record Verify(boolean there, int segments, long records, long snapshot, List<String> notes,
+                     DamageException damage) {
     /** Reads all of a store. */
     public static Verify of(Disk disk, Keys keys, Replay replay) throws IOException {
         Scan scan = new Scan(disk, keys, replay);
@@ -22,12 +24,13 @@
         } catch (DamageException e) {
             damage = e;
         }
-        return new Verify(scan.segments.size(), Math.max(0, scan.next - scan.snapshotNext), scan.snapshotNext,
+        return new Verify(damage != null || !scan.nothing(), scan.segments.size(),
+            Math.max(0, scan.next - scan.snapshotNext), scan.snapshotNext,
             List.copyOf(scan.notes), damage);
     }
 
-    /** Whether nothing is amiss: no damage, and nothing left of an unfinished write. */
+    /** Whether nothing is amiss: a store without damage, and nothing beside it. */
     public boolean clean() {
-        return damage == null && notes.isEmpty();
+        return there && damage == null && notes.isEmpty();
     }
 }
--- a/src/test/java/gatefront/cli/LedgerCommandTest.java
+++ b/src/test/java/gatefront/cli/LedgerCommandTest.java
@@ -7,6 +7,7 @@
 import gatefront.ledger.Amounts;
 import gatefront.ledger.Ledger;
 import gatefront.storage.FolderDisk;
+import gatefront.storage.Replay;
 import gatefront.storage.Store;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -32,6 +33,15 @@
         return Main.run(args, new PrintStream(out), new PrintStream(err));
     }
 
+    @Test
+    void onlyTheFirstLifeFindsNoBooks() throws IOException {
+        for (boolean first : new boolean[] {true, false, false}) {
+            try (Books books = Books.open(new FolderDisk(dir.resolve("a")), Store.Options.USUAL, "agente-1")) {
+                assertEquals(first, books.begun());
+            }
+        }
+    }
+
     private String books(String name, String instance, long requests) throws IOException {
         Path folder = dir.resolve(name);
         try (Books books = Books.open(new FolderDisk(folder), Store.Options.USUAL, instance)) {
@@ -86,6 +96,22 @@
         assertEquals(1, err.toString().lines().count(), err.toString());
     }
 
+    @Test
+    void aLostStoreIsNotAnEmptyOne() throws IOException {
+        Path lost = Files.createDirectory(dir.resolve("lost"));
+        assertEquals(Commands.BROKEN, run("ledger", "verify", lost.toString()));
+        assertTrue(out.toString().startsWith("MISSING " + lost + ": no store is here"), out.toString());
+        Files.writeString(lost.resolve("notes.txt"), "none of ours");
+        assertEquals(Commands.BROKEN, run("ledger", "verify", lost.toString()));
+        assertTrue(out.toString().contains("note: notes.txt is no file of a store"), out.toString());
+        Files.writeString(lost.resolve("0000000000000000.log.new"), "a first start that ended at once");
+        assertEquals(Commands.BROKEN, run("ledger", "verify", lost.toString()));
+        Path empty = dir.resolve("empty");
+        Store.open(new FolderDisk(empty), Store.Options.USUAL, Replay.NOBODY).close();
+        assertEquals(0, run("ledger", "verify", empty.toString()));
+        assertTrue(out.toString().startsWith("whole: 0 entries, 1 segments"), out.toString());
+    }
+
     @Test
     void booksThatDifferAreToldWhere() throws IOException {
         String one = books("a", "agente-1", 4);
