rehearse processes: agents as processes, relays on every link, faults by plan

Need: nothing in the kit showed several processes of the program failing together.

Change: 'gatefront rehearse processes PLAN' starts agents as processes with a folder and a door each. Every link (callers, nodos, padron, door) goes over a relay of its own that a plan holds, delays, throttles, resets or leaves half-open, by direction. Processes are killed, ended, stopped and woken, or crash in a loop; folders are wiped, put back, torn, flipped, changed for another's.

The nodos and the padron still share the rig's process.

--- a/src/main/java/gatefront/cli/RehearseCommand.java
+++ b/src/main/java/gatefront/cli/RehearseCommand.java
@@ -29,7 +29,7 @@
 import picocli.CommandLine.Spec;
 
 /** Plays a plan with the real agents and reports. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
+@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = ProcessesCommand.class, description = {
     "Play a day with the real agents against stand-ins on virtual time, and report.",
     "The same plan and seed give the same report. Exit status: 0 all rules kept, 3 a rule broken,",
     "2 wrong usage, 1 unusable plan."})
--- a/src/main/java/gatefront/rehearsal/AgentStand.java
+++ b/src/main/java/gatefront/rehearsal/AgentStand.java
@@ -36,6 +36,11 @@
         return machine().at(PORT);
     }
 
+    /** Where its callers dial. */
+    InetSocketAddress callers() {
+        return address();
+    }
+
     /** The same over Thrift. */
     InetSocketAddress thriftAddress() {
         return machine().at(THRIFT_PORT);
@@ -113,7 +118,7 @@
             .put("seed", Long.toHexString(day.draw("agent " + number + " at " + day.now()).number()));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", plan.agents().memoryMb())
             .put("sockets", plan.agents().sockets());
-        root.set("known", day.padron.whole());
+        root.set("known", day.padron.whole(number));
         settings(root.putObject("settings"));
         return root;
     }
--- a/src/main/java/gatefront/rehearsal/CallerStand.java
+++ b/src/main/java/gatefront/rehearsal/CallerStand.java
@@ -95,6 +95,8 @@
         boolean taken;
         boolean resent;
         boolean over;
+        /** The rig's own lateness that has been added to its time, in microseconds. */
+        long excused;
         Line line;
         Future<?> timer;
 
@@ -183,9 +185,19 @@
 
     /** The caller waits no longer; by then its answer was due. */
     private void timeUp(Try made) {
+        long late = day.ways.late(made.deadline, day.now());
+        if (!made.over && late > made.excused) {
+            // The rig itself was late: what has come meanwhile may not have been read.
+            long more = late - made.excused;
+            made.excused = late;
+            made.timer = machine.transport().loop().schedule(() -> timeUp(made), more, TimeUnit.MICROSECONDS);
+            return;
+        }
         if (!made.over) {
             if (made.taken) {
-                if (day.agents.get(agent).tookSince(made.at)) {
+                if (!day.ways.owes(agent, made.at, day.now())) {
+                    day.checker.released(day.now(), made.id, "its agent was stopped or cut off");
+                } else if (day.agents.get(agent).tookSince(made.at)) {
                     day.checker.unanswered(day.now(), made.id);
                 } else {
                     day.checker.released(day.now(), made.id, "its agent was killed or cut off");
@@ -258,6 +270,9 @@
             Try made = current;
             current = null;
             long at = day.micros(machine.sentAt(channel));
+            if (at > made.deadline && !day.ways.owes(agent, made.at, at)) {
+                day.checker.released(at, made.id, "its agent was stopped or cut off");
+            }
             day.checker.answered(at, made.id, status, status == 200 ? body : null);
             if (kept) {
                 used = true;
@@ -282,7 +297,7 @@
                 return;
             }
             AgentStand stand = day.agents.get(agent);
-            boolean alive = stand.tookSince(made.at);
+            boolean alive = stand.tookSince(made.at) && day.ways.owes(agent, made.at, day.now());
             if (made.taken && !alive) {
                 day.checker.released(day.now(), made.id, "its agent was killed");
             }
--- a/src/main/java/gatefront/rehearsal/Day.java
+++ b/src/main/java/gatefront/rehearsal/Day.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -32,8 +33,49 @@
         void line(String text);
     }
 
+    /** How processes reach each other: straight, or over relays. */
+    interface Ways {
+        /** Nothing stands between. */
+        Ways STRAIGHT = new Ways() { };
+
+        /** Where an agent reaches a nodo that listens at an address. */
+        default InetSocketAddress nodo(int agent, InetSocketAddress at) {
+            return at;
+        }
+
+        /** Where an agent reaches its padrón. */
+        default InetSocketAddress padron(int agent, InetSocketAddress at) {
+            return at;
+        }
+
+        /** Whether what the padrón writes reaches an agent now. */
+        default boolean heard(int agent) {
+            return true;
+        }
+
+        /** For how long, at the most, the rig itself did nothing between two times of the day, in microseconds. */
+        default long late(long from, long until) {
+            return 0;
+        }
+
+        /** The earliest time at which an agent can have sent what a nodo reads now. */
+        default long sentAt(int agent, long now) {
+            return now;
+        }
+
+        /** Whether an agent ran, and its answers arrived, all the time between two times. */
+        default boolean owes(int agent, long from, long until) {
+            return true;
+        }
+
+        /** The first of an attempt has come to a nodo. */
+        default void begun(long now, int agent, int nodo) { }
+    }
+
     final Plan plan;
     final long seed;
+    /** Set before the day begins. */
+    Ways ways = Ways.STRAIGHT;
     /** What the rig's own lateness may blur, in microseconds. */
     final long slack;
     final Cast cast;
@@ -93,6 +135,11 @@
         return (nanos - startNanos) / 1000;
     }
 
+    /** A time of the day in microseconds of the clock that all processes of the machine share. */
+    long clock(long micros) {
+        return startNanos / 1000 + micros;
+    }
+
     /** Milliseconds since 1970 by the time of day. */
     long wallMillis() {
         return world.transport().wallMicros() / 1000;
@@ -136,7 +183,7 @@
             AgentStand agent = agentStands.apply(i);
             agents.add(agent);
             callers.add(new CallerStand(this, i, machines.make("caller-" + (i + 1), addresses.of(9, i),
-                cast.agentZones()[i], 1 << 30, line -> { }), form == null ? agent.address() : agent.thriftAddress()));
+                cast.agentZones()[i], 1 << 30, line -> { }), form == null ? agent.callers() : agent.thriftAddress()));
             agent.start();
         }
     }
--- a/src/main/java/gatefront/rehearsal/Demo.java
+++ b/src/main/java/gatefront/rehearsal/Demo.java
@@ -38,7 +38,7 @@
             day = loop.submit(() -> {
                 Day made = new Day(plan, 1, 0, addresses,
                     (name, address, zone, memory, lines) -> new SocketMachine(name, address, loop), it -> i ->
-                    new ProcessAgent(it, i, addresses.of(8, i), command, folder, log));
+                    new ProcessAgent(it, i, addresses.of(8, i), command, folder, Runnable::run, log));
                 made.takeStrangers();
                 made.begin();
                 return made;
--- /dev/null
+++ b/src/main/java/gatefront/rehearsal/FolderAgent.java
@@ -0,0 +1,96 @@
+package gatefront.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+/** An agent whose folder outlives its process, with a door for staff, reached over relays. */
+final class FolderAgent extends ProcessAgent {
+    private static final int DOOR_PORT = 3002;
+
+    private final Path folder;
+    private final boolean keeps;
+    private final Set<String> without;
+    private final Consumer<Process> begun;
+    private InetSocketAddress front;
+    /** The list in the file that staff wrote: as it was at the first start. */
+    private JsonNode known;
+
+    /**
+     * Not started yet.
+     *
+     * @param keeps whether it keeps what it is to know again
+     * @param without guards that are switched off
+     * @param begun is told of each process, on no loop
+     */
+    FolderAgent(Day day, int number, InetAddress address, List<String> command, Path root, Executor starter,
+                Consumer<String> log, boolean keeps, Set<String> without, Consumer<Process> begun) {
+        super(day, number, address, command, root, starter, log);
+        this.folder = root.resolve(name());
+        this.keeps = keeps;
+        this.without = without;
+        this.begun = begun;
+    }
+
+    /** All that it keeps. */
+    Path folder() {
+        return folder;
+    }
+
+    /** Where staff reach it, without a relay. */
+    InetSocketAddress door() {
+        return machine().at(DOOR_PORT);
+    }
+
+    /** Its callers come over a relay from now on. */
+    void front(InetSocketAddress at) {
+        front = at;
+    }
+
+    @Override
+    InetSocketAddress callers() {
+        return front;
+    }
+
+    @Override
+    Path configuration(Path to) throws IOException {
+        ObjectNode root = config();
+        known = known == null ? root.get("known") : known;
+        root.set("known", known);
+        return Files.writeString(to, root.toString());
+    }
+
+    @Override
+    void prepare(ProcessBuilder builder) throws IOException {
+        builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+        builder.environment().put("RELAY_MANAGEMENT", door().getAddress().getHostAddress() + ":" + DOOR_PORT);
+    }
+
+    @Override
+    String extensions() {
+        StringBuilder own = new StringBuilder(super.extensions());
+        if (keeps) {
+            own.append("[recovery]\nfolder = \"").append(folder.resolve("kept")).append("\"\ninstance = \"")
+                .append(name()).append("\"\n");
+        }
+        if (!without.isEmpty()) {
+            own.append("[rehearsal]\nwithout = [").append(without.stream().sorted()
+                .map(each -> '"' + each + '"').collect(Collectors.joining(", "))).append("]\n");
+        }
+        return own.toString();
+    }
+
+    @Override
+    void started(Process fresh) {
+        begun.accept(fresh);
+    }
+}
--- a/src/main/java/gatefront/rehearsal/RealRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/RealRehearsal.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal;
 
 import gatefront.rehearsal.plan.Plan;
+import gatefront.rehearsal.processes.Lateness;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -13,6 +14,8 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 
@@ -29,12 +32,21 @@
     private static final long SETTLE_MS = 1_000;
     private static final long ENDING_MS = 6_000;
     private static final int LINES_MOST = 2_000;
+    private static final int STARTERS = 4;
+    /** The rig is to be late by no more, in microseconds. */
+    private static final long LATE_MOST = 20_000;
 
     private final Plan plan;
     private final long seed;
     private final List<String> agentCommand;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private final ExecutorService starter = Executors.newFixedThreadPool(STARTERS, task -> {
+        Thread thread = new Thread(task, "starter");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Lateness lateness = new Lateness();
     private final List<String> log = new ArrayList<>();
     private long opensAt;
 
@@ -73,12 +85,16 @@
             Addresses addresses = Addresses.ofProcess();
             Day day = on(() -> new Day(plan, seed, SLACK, addresses,
                 (name, address, zone, memory, lines) -> new SocketMachine(name, address, loop), made -> i -> {
-                    AgentStand agent = new ProcessAgent(made, i, addresses.of(8, i), agentCommand, folder,
+                    AgentStand agent = new ProcessAgent(made, i, addresses.of(8, i), agentCommand, folder, starter,
                         line -> log(made, i, line));
                     started.add(agent);
                     return agent;
                 }));
             played[0] = day;
+            lateness.watch(loop);
+            Rig rig = new Rig(day, lateness);
+            day.ways = rig;
+            day.checker.on(rig);
             on(() -> {
                 day.begin();
                 return null;
@@ -86,6 +102,7 @@
             awaitReady(day);
             opensAt = on(() -> {
                 long now = day.now() + 100_000;
+                lateness.opens();
                 Rehearsal.open(day, now);
                 return now;
             });
@@ -109,6 +126,8 @@
                     }
                 }
                 day.checker.close(day.now());
+                log.add(String.format(Locale.ROOT, "the rig was late by %.1f ms at the most, and %d times by over %d "
+                    + "ms", lateness.worst() / 1e3, lateness.over(LATE_MOST), LATE_MOST / 1000));
                 return new Outcome(plan, seed, day.cast, day.record, day.checker, List.copyOf(log), 0);
             });
         } catch (InterruptedException e) {
@@ -119,6 +138,7 @@
             if (played[0] != null) {
                 loop.submit(played[0]::close).awaitUninterruptibly();
             }
+            starter.shutdown();
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             delete(folder);
         }
--- a/src/main/java/gatefront/rehearsal/Record.java
+++ b/src/main/java/gatefront/rehearsal/Record.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal;
 
 import gatefront.budget.Budget;
+import gatefront.rehearsal.check.ServiceCurve;
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.world.Demand;
 import gatefront.rehearsal.world.Patience;
@@ -57,6 +58,7 @@
     final List<Note> notes = new ArrayList<>();
     final Held held;
     final Crowd crowd;
+    final ServiceCurve curve;
     private final Cast cast;
     private long opensAt;
     /** Connections that nodos have closed because they were in no use. */
@@ -80,6 +82,7 @@
         this.fullest = new int[seconds];
         this.coldest = new double[seconds];
         this.held = new Held(seconds);
+        this.curve = new ServiceCurve(seconds);
         this.crowd = new Crowd(plan.agents().count());
     }
 
@@ -164,6 +167,7 @@
         worth[second(want.at())][want.kind()][fate.ordinal()] += value;
         tenants[want.tenant()][fate.ordinal()] += value;
         counts[want.kind()][fate.ordinal()]++;
+        curve.settled(want.at() - opensAt, value, fate == Fate.IN_TIME);
     }
 
     void band(String name, long from, long until) {
--- a/src/main/java/gatefront/rehearsal/plan/PlanReader.java
+++ b/src/main/java/gatefront/rehearsal/plan/PlanReader.java
@@ -192,7 +192,8 @@
         return List.copyOf(classes);
     }
 
-    private static Fault fault(Table t, double seconds, int agents, int nodos, List<String> zones)
+    /** Reads one fault of the world. */
+    public static Fault fault(Table t, double seconds, int agents, int nodos, List<String> zones)
             throws TomlException {
         List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
         String word = t.word("kind", null, words);
--- /dev/null
+++ b/src/main/java/gatefront/rehearsal/processes/Shape.java
@@ -0,0 +1,15 @@
+package gatefront.rehearsal.processes;
+
+/**
+ * What is done to one direction of a link.
+ *
+ * @param held whether bytes stay where they are, in silence, as on a cut cable; they arrive after it is healed
+ * @param delayMicros by how much later they arrive
+ * @param bytesASecond how many pass in a second; 0 for any number
+ */
+public record Shape(boolean held, long delayMicros, long bytesASecond) {
+    /** As if there were nothing in between. */
+    public static final Shape CLEAR = new Shape(false, 0, 0);
+    /** Nothing passes. */
+    public static final Shape HELD = new Shape(true, 0, 0);
+}
