Coming back: calls by hand outlive a death, a loss is told, a woken agent hears first

Need: a server taken out by hand was silently back in service after a start with an empty folder; a process that had stood still for seconds went on with the list as it was before, and sent to servers that had drained meanwhile.

The door's yes to a call comes once it is on the disk. A store that is missing, damaged, another's, put back or from the future is named in the log and in /stats (recovery, recovery_lost, recovery_reason); a damaged one and another's are set aside. After a standstill of nearly the grace of a drain no event reaches the module before a whole list has come, for 300 ms at the most.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -11,6 +11,7 @@
 import gatefront.membership.Endpoint;
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
+import gatefront.recovery.Waking;
 import gatefront.status.MemoryWatch;
 import gatefront.status.StatusFront;
 import gatefront.thrift.ThriftFront;
@@ -27,6 +28,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -60,6 +62,9 @@
     private static final int CALLS_A_CONNECTION = 8;
     private static final int CALLS_LEAST = 1_024;
     private static final long TREND_SECONDS = 1;
+    /** How often it looks at the clock where nothing else happens, and how long it waits to hear after a standstill. */
+    private static final long BEAT_MS = 100;
+    private static final long HEAR_MICROS = 300_000;
 
     /** As it is now: a reload may change it. */
     private Config config;
@@ -79,6 +84,8 @@
     private final Operations operations;
     /** Writes what municipios use; null where nobody wants it. */
     private LedgerKeeper keeper;
+    /** What it knows over its death; null where nothing is kept. */
+    private Recovering recovering;
     /** All of them, that over HTTP first. */
     private final List<Front> fronts = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -256,6 +263,9 @@
             }
             agent.engine.usage(agent.keeper.usage());
         }
+        if (extensions.recovery() != null) {
+            agent.recovering = Recovering.open(sockets, extensions.recovery(), config);
+        }
         if (agent.operations != null && !agent.operations.listen().awaitUninterruptibly().isSuccess()) {
             throw agent.unable("cannot listen on " + config.management() + " for the operators");
         }
@@ -282,6 +292,9 @@
         if (keeper != null) {
             keeper.abandon();
         }
+        if (recovering != null) {
+            recovering.abandon();
+        }
         if (operations != null) {
             operations.close();
         }
@@ -317,15 +330,18 @@
         if (serves) {
             sayWhere();
         }
+        if (recovering != null) {
+            recovering.start();
+        }
         if (operations != null) {
-            operations.start();
+            operations.start(recovering);
         }
         if (keeper != null) {
             keeper.start();
         }
         Discovery.Listing known;
         try {
-            known = Discovery.decode(config.known(), config);
+            known = Discovery.decode(recovering == null ? config.known() : recovering.known(config.known()), config);
         } catch (IllegalArgumentException e) {
             say("known list: " + e.getMessage());
             known = new Discovery.Listing(0, true, List.of());
@@ -351,6 +367,27 @@
         });
     }
 
+    /** It may have become ready; what recovers is told once. */
+    private void serves() {
+        if (recovering != null && ready() && recovering.serves() && recovering.guards(RecoveryTable.Guard.WAKING)) {
+            wakes(); // before that its loop is busy with its own start
+        }
+    }
+
+    /** Guards against sending to a server that drained while this process stood still and was told nothing. */
+    private void wakes() {
+        long grace = config.settings().obligations().drainGrace();
+        Waking waking = new Waking(Math.max(BEAT_MS * 2_000, grace - BEAT_MS * 1_000), HEAR_MICROS);
+        engine.wakes(waking, () -> {
+            say(String.format(Locale.ROOT, "recovery: it stood still for %.1f s; nothing is sent on before the list "
+                + "has been heard, for %d ms at the most", waking.gap() / 1e6, HEAR_MICROS / 1000));
+            if (asksPadron()) {
+                discovery.fetch();
+            }
+        });
+        loop.scheduleWithFixedDelay(engine::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void sayWhere() {
         InetSocketAddress at = address();
         say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
@@ -362,11 +399,19 @@
 
     /** The one list, from whatever sources; what is out by hand is laid over it. */
     private void servers(Balancer.ListKind kind, List<Endpoint> endpoints) {
+        if (recovering != null) {
+            recovering.told(kind, endpoints);
+        }
         engine.servers(kind, operations == null ? endpoints : operations.told(kind, endpoints));
+        if (kind == Balancer.ListKind.FULL) {
+            engine.heard();
+            serves();
+        }
     }
 
     /** Listens beside the process that serves, once this one can serve, or alone if that has ended. */
     private void takeOver() {
+        serves();
         if (serves || binding || follows() && !(listed && warm)) {
             return;
         }
@@ -455,6 +500,9 @@
                         clients.changed(changed);
                     }
                     config = changed;
+                    if (recovering != null) {
+                        recovering.changed(changed);
+                    }
                     if (asksPadron()) {
                         discovery.moveTo(changed.discovery());
                     }
@@ -537,10 +585,11 @@
         if (operations != null) {
             operations.close();
         }
-        Runnable last = () -> transport.close(() -> {
+        Runnable closes = () -> transport.close(() -> {
             ended.countDown();
             whenEnded.run();
         });
+        Runnable last = recovering == null ? closes : () -> recovering.close(() -> loop.execute(closes));
         if (keeper == null) {
             last.run();
         } else {
--- a/src/main/java/gatefront/agent/Extensions.java
+++ b/src/main/java/gatefront/agent/Extensions.java
@@ -23,9 +23,15 @@
  * @param registry which registry it follows, or null if none
  * @param memory where what it holds is shown, and other caps; or null
  * @param ledger where use by municipio is written, or null if it is not
+ * @param recovery what is kept over the agent's death, or null if nothing is
  */
 public record Extensions(ThriftSettings thrift, RegistrySettings registry, MemoryTable memory,
-                         LedgerTable ledger) {
+                         LedgerTable ledger, RecoveryTable recovery) {
+    /** Without anything that is kept. */
+    public Extensions(ThriftSettings thrift, RegistrySettings registry, MemoryTable memory, LedgerTable ledger) {
+        this(thrift, registry, memory, ledger, null);
+    }
+
     /** None. */
     public static final Extensions NONE = new Extensions(null, null, null, null);
     private static final int PORT_MOST = 65_535;
@@ -55,8 +61,10 @@
         RegistrySettings registry = top.has("registry") ? RegistryTable.read(top.table("registry")) : null;
         MemoryTable memory = top.has("memory") ? MemoryTable.read(top.table("memory")) : null;
         LedgerTable ledger = top.has("ledger") ? LedgerTable.read(top.table("ledger")) : null;
+        RecoveryTable recovery = top.has("recovery") ? RecoveryTable.read(top.table("recovery"),
+            top.table("rehearsal")) : null;
         top.finish();
-        return new Extensions(thrift, registry, memory, ledger);
+        return new Extensions(thrift, registry, memory, ledger, recovery);
     }
 
     private static ThriftSettings thrift(Table table, Config config) throws TomlException {
--- a/src/main/java/gatefront/agent/Operations.java
+++ b/src/main/java/gatefront/agent/Operations.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * What operators do with an agent, put together: the door, bans laid over the list, and what another process of the
@@ -49,6 +51,8 @@
     /** Servers that are about to be put back; each goes after {@link #RETURN_MS}. */
     private final Map<String, Future<?>> returning = new HashMap<>();
     private Future<?> looking;
+    /** What is known over a death; null where nothing is kept. */
+    private Recovering recovering;
     private boolean follows;
     private long applied;
     private long rejected;
@@ -80,8 +84,23 @@
         return neighbour != null && neighbour.followed();
     }
 
-    /** Hears of what the other process has told so far, and from now on of the rest; before the first list. */
-    void start() {
+    /**
+     * Hears of what the other process has told so far, and from now on of the rest; before the first list.
+     *
+     * @param before what this instance knows over its death; null where it keeps nothing
+     */
+    void start(Recovering before) {
+        recovering = before;
+        if (before != null) {
+            bans.merge(before.bans());
+            bans.changed();
+            if (neighbour != null && !before.guards(RecoveryTable.Guard.KEPT_BANS)) {
+                neighbour.look();
+            }
+            if (neighbour != null && !bans.entries().isEmpty()) {
+                neighbour.tell(bans.entries());
+            }
+        }
         if (neighbour != null) {
             look();
             looking = transport.loop().scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -114,6 +133,7 @@
         boolean news = bans.changed();
         if (news) {
             neighbour.tell(bans.entries());
+            keep(bans.entries(), kept -> { });
         }
         if (!lines.isEmpty()) {
             engine.servers(ListKind.DELTA, lines);
@@ -133,7 +153,7 @@
     }
 
     @Override
-    public Bans.Answer hand(String backend, boolean out) {
+    public void hand(String backend, boolean out, BiConsumer<Bans.Answer, Boolean> then) {
         if (neighbour != null) {
             look(); // a call at the other door may have come just before
         }
@@ -143,13 +163,32 @@
         }
         if (!out && bans.isOut(backend)) {
             // Guards against a request that is there before the operator has the yes: what is held goes out at once.
-            returning.put(backend, transport.loop().schedule(() -> {
-                returning.remove(backend);
-                apply(backend, false);
-            }, RETURN_MS, TimeUnit.MILLISECONDS));
-            return Bans.Answer.YES;
+            Map<String, Bans.Entry> soon = new HashMap<>(bans.entries());
+            soon.put(backend, new Bans.Entry(false, Math.max(transport.wallMicros(), soon.get(backend).at() + 1)));
+            keep(soon, kept -> {
+                then.accept(Bans.Answer.YES, kept);
+                // A call that came meanwhile has the last word.
+                if (bans.isOut(backend) && !returning.containsKey(backend)) {
+                    returning.put(backend, transport.loop().schedule(() -> {
+                        returning.remove(backend);
+                        apply(backend, false);
+                        keep(bans.entries(), again -> { });
+                    }, RETURN_MS, TimeUnit.MILLISECONDS));
+                }
+            });
+            return;
+        }
+        Bans.Answer answer = apply(backend, out);
+        keep(bans.entries(), kept -> then.accept(answer, kept));
+    }
+
+    /** Keeps calls by hand where anything is kept; where nothing is, nobody expects it. */
+    private void keep(Map<String, Bans.Entry> entries, Consumer<Boolean> then) {
+        if (recovering == null) {
+            then.accept(true);
+        } else {
+            recovering.keep(entries, then);
         }
-        return apply(backend, out);
     }
 
     private Bans.Answer apply(String backend, boolean out) {
@@ -167,6 +206,11 @@
         return answer;
     }
 
+    @Override
+    public Map<String, String> words() {
+        return recovering == null ? Map.of() : recovering.words();
+    }
+
     @Override
     public Map<String, Long> figures() {
         Map<String, Long> figures = new LinkedHashMap<>();
--- a/src/main/java/gatefront/config/EndpointForm.java
+++ b/src/main/java/gatefront/config/EndpointForm.java
@@ -1,6 +1,8 @@
 package gatefront.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer.Phase;
 import gatefront.policy.Balancer.Server;
@@ -9,6 +11,20 @@
 public final class EndpointForm {
     private EndpointForm() { }
 
+    /** Gives an entry, which {@link #decode} makes the same server of. */
+    public static ObjectNode encode(Endpoint endpoint, Config config) {
+        Server server = endpoint.server();
+        return JsonNodeFactory.instance.objectNode().put("name", endpoint.name())
+            .put("address", endpoint.address().getAddress().getHostAddress() + ":" + endpoint.address().getPort())
+            .put("zone", config.zones().get(server.zone()))
+            .put("type", server.kind() < 0 ? "" : config.kinds().get(server.kind())).put("group", server.cell())
+            .put("status", switch (server.phase()) {
+                case READY -> "Ready";
+                case DRAINING -> "Terminating";
+                case GONE -> "Gone";
+            }).put("weight", server.weight()).put("since_ms", server.startedAt() / 1000);
+    }
+
     /**
      * Takes an entry.
      *
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -7,6 +7,7 @@
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer;
 import gatefront.policy.Rules;
+import gatefront.recovery.Waking;
 import gatefront.transport.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -30,6 +31,8 @@
     public static final long RETRY_AFTER_MICROS = 250_000;
     /** Of the caller's time, what the answer's way back and a late wake-up may take. */
     private static final long MARGIN_MICROS = 10_000;
+    /** Looked at again so long after a standstill, when whoever was to tell has had the time. */
+    private static final long HEARD_LATEST_MS = 310;
     private static final Pattern SERVER = Pattern.compile("^server (-?\\d+)");
 
     private final Transport transport;
@@ -60,6 +63,11 @@
     private final long anchorMicros;
     private long nextId = 1;
     private boolean deciding;
+    /** Whether this process has stood still; null where nobody asks. */
+    private Waking waking;
+    private Runnable whenWoken;
+    /** Events of the module that wait until it has heard; no more than came within that time. */
+    private final List<Runnable> held = new ArrayList<>();
 
     /** Where the list of servers comes from, as the module may ask for it. */
     public interface Source {
@@ -191,10 +199,60 @@
         event(null, event);
     }
 
+    /** From now on nothing is decided after a standstill before {@link #heard()}; {@code woken} is to see to that. */
+    public void wakes(Waking by, Runnable woken) {
+        waking = by;
+        whenWoken = woken;
+    }
+
+    /** Nothing may be happening; looks at the clock. */
+    public void beat() {
+        if (doubts()) {
+            return;
+        }
+        release();
+    }
+
+    /** A whole list has come: what was held back is decided now. */
+    public void heard() {
+        if (waking != null) {
+            waking.heard();
+            release();
+        }
+    }
+
+    private boolean doubts() {
+        if (waking == null) {
+            return false;
+        }
+        long now = transport.nanos() / 1000;
+        if (waking.seen(now)) {
+            whenWoken.run();
+            loop.schedule(this::beat, HEARD_LATEST_MS, TimeUnit.MILLISECONDS);
+        }
+        return waking.doubts(now);
+    }
+
+    private void release() {
+        if (!held.isEmpty()) {
+            List<Runnable> now = List.copyOf(held);
+            held.clear();
+            now.forEach(Runnable::run);
+        }
+    }
+
     /** The same for an event of one call, which is given up if the module fails over it. */
     private void event(Pending pending, Runnable event) {
+        if (doubts()) {
+            held.add(() -> event(pending, event));
+            return;
+        }
+        decide(pending, event);
+    }
+
+    private void decide(Pending pending, Runnable event) {
         if (deciding) {
-            loop.execute(() -> event(pending, event));
+            loop.execute(() -> decide(pending, event));
             return;
         }
         deciding = true;
@@ -238,7 +296,7 @@
         }
         gone.forEach(id -> upstreams.forEach(each -> each.gone(id)));
         List<Balancer.Server> entries = taken.stream().map(Endpoint::server).toList();
-        event(() -> balancer.servers(now(), kind, entries));
+        decide(null, () -> balancer.servers(now(), kind, entries));
         taken.stream().map(Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
             .forEach(each -> gone.add(each.id()));
         gone.forEach(id -> {
--- a/src/main/java/gatefront/management/Door.java
+++ b/src/main/java/gatefront/management/Door.java
@@ -9,6 +9,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * The operators' door: {@code GET /healthcheck}, {@code GET /stats}, {@code POST /backends/ID/maint} and
@@ -27,8 +29,17 @@
         /** The figures, in their order. */
         Map<String, Long> figures();
 
-        /** Takes a backend out, which holds when this returns, or puts it back, which does soon after. */
-        Bans.Answer hand(String backend, boolean out);
+        /** More lines of the figures, in words. */
+        default Map<String, String> words() {
+            return Map.of();
+        }
+
+        /**
+         * Takes a backend out, which holds when this returns, or puts it back, which does soon after.
+         *
+         * @param then hears what came of it, and whether a restart of the agent would still know it, once that is sure
+         */
+        void hand(String backend, boolean out, BiConsumer<Bans.Answer, Boolean> then);
     }
 
     private final Agent agent;
@@ -40,45 +51,54 @@
     }
 
     @Override
-    protected Reply call(FullHttpRequest request) {
+    protected void call(FullHttpRequest request, Consumer<Reply> answer) {
         String uri = request.uri();
         int end = uri.indexOf('?');
         String path = end < 0 ? uri : uri.substring(0, end);
         if (path.equals("/healthcheck") || path.equals("/stats")) {
-            if (!request.method().equals(HttpMethod.GET)) {
-                return Reply.plain(405, "GET only\n");
-            }
-            if (path.equals("/stats")) {
-                return Reply.plain(200, text(agent.figures()));
-            }
-            return agent.ready() ? Reply.plain(200, "ready\n") : Reply.plain(503, "not ready\n");
+            answer.accept(look(request, path));
+            return;
         }
         int verb = path.lastIndexOf('/');
         boolean out = path.endsWith("/maint");
         if (!path.startsWith(BACKENDS) || verb <= BACKENDS.length() || !out && !path.endsWith("/ready")) {
-            return Reply.plain(404, "there are /healthcheck, /stats, /backends/ID/maint and /backends/ID/ready\n");
+            answer.accept(Reply.plain(404,
+                "there are /healthcheck, /stats, /backends/ID/maint and /backends/ID/ready\n"));
+            return;
         }
         if (!request.method().equals(HttpMethod.POST)) {
-            return Reply.plain(405, "POST only\n");
+            answer.accept(Reply.plain(405, "POST only\n"));
+            return;
         }
         String backend;
         try {
             backend = QueryStringDecoder.decodeComponent(path.substring(BACKENDS.length(), verb),
                 StandardCharsets.UTF_8);
         } catch (IllegalArgumentException e) {
-            return Reply.plain(400, "an id that cannot be read\n");
+            backend = "";
         }
         if (backend.isEmpty() || backend.chars().anyMatch(c -> c < ' ')) {
-            return Reply.plain(400, "an id that cannot be read\n");
+            answer.accept(Reply.plain(400, "an id that cannot be read\n"));
+            return;
         }
-        return switch (agent.hand(backend, out)) {
-            case YES -> Reply.plain(200, out ? "out\n" : "back\n");
+        agent.hand(backend, out, (came, kept) -> answer.accept(switch (came) {
+            case YES -> Reply.plain(200, (out ? "out" : "back") + (kept ? "\n" : ", and not kept over a restart\n"));
             case UNKNOWN -> Reply.plain(404, "nobody has this id\n");
             case FULL -> Reply.plain(503, "too many are out by hand\n");
-        };
+        }));
+    }
+
+    private Reply look(FullHttpRequest request, String path) {
+        if (!request.method().equals(HttpMethod.GET)) {
+            return Reply.plain(405, "GET only\n");
+        }
+        if (path.equals("/stats")) {
+            return Reply.plain(200, text(agent.figures()) + text(agent.words()));
+        }
+        return agent.ready() ? Reply.plain(200, "ready\n") : Reply.plain(503, "not ready\n");
     }
 
-    private static String text(Map<String, Long> figures) {
+    private static String text(Map<String, ?> figures) {
         StringBuilder text = new StringBuilder();
         figures.forEach((name, value) -> text.append(name).append('=').append(value).append('\n'));
         return text.toString();
--- /dev/null
+++ b/src/main/java/gatefront/recovery/Source.java
@@ -0,0 +1,22 @@
+package gatefront.recovery;
+
+/** From where an agent has it. */
+public enum Source {
+    /** The platform's file. */
+    CONFIGURATION("the configuration"),
+    /** What this instance kept itself. */
+    STORE("the store"),
+    /** Another process of this instance, during an upgrade or before a restart. */
+    NEIGHBOUR("the process before");
+
+    private final String words;
+
+    Source(String words) {
+        this.words = words;
+    }
+
+    /** As a line of the log has it. */
+    public String words() {
+        return words;
+    }
+}
--- /dev/null
+++ b/src/main/java/gatefront/recovery/Verdict.java
@@ -0,0 +1,8 @@
+package gatefront.recovery;
+
+/** What becomes of a claim. */
+public enum Verdict {
+    /** It holds. */ BELIEVED,
+    /** It holds to the safe side alone: what it takes out stays out, what it lets in proves nothing. */ DOUBTED,
+    /** As if it had never been. */ DROPPED
+}
--- /dev/null
+++ b/src/main/java/gatefront/recovery/Waking.java
@@ -0,0 +1,59 @@
+package gatefront.recovery;
+
+/**
+ * Whether this process has stood still (stopped, swapped out, its machine asleep) for so long that it may have missed a
+ * drain, and so must not send anything on before it has heard from those who know. It is told each time that something
+ * happens, and by a beat when nothing does: a longer gap between two times is a standstill.
+ *
+ * <p>Why not by the list's age: while this process stood still nobody told it anything, and its own view of the list
+ * looks as fresh as it did before. Times are microseconds of a clock that goes on while the process stands still.
+ */
+public final class Waking {
+    private final long gapMost;
+    private final long patience;
+    private long last = Long.MIN_VALUE;
+    private long wokeAt;
+    private boolean doubting;
+    private long gap;
+
+    /**
+     * One that has just been awake.
+     *
+     * @param gapMost so long it may have been busy
+     * @param patience so long it waits to hear, then it goes on with what it has
+     */
+    public Waking(long gapMost, long patience) {
+        this.gapMost = gapMost;
+        this.patience = patience;
+    }
+
+    /** Something happens; returns whether the process has just woken. */
+    public boolean seen(long now) {
+        boolean woke = last != Long.MIN_VALUE && now - last > gapMost;
+        if (woke) {
+            gap = now - last;
+            wokeAt = now;
+            doubting = true;
+        }
+        last = Math.max(last, now);
+        return woke;
+    }
+
+    /** Those who know have told all that there is. */
+    public void heard() {
+        doubting = false;
+    }
+
+    /** Whether what it knows is to be doubted now. */
+    public boolean doubts(long now) {
+        if (doubting && now - wokeAt >= patience) {
+            doubting = false; // nobody tells: to serve nobody for as long would be worse
+        }
+        return doubting;
+    }
+
+    /** How long it last stood still. */
+    public long gap() {
+        return gap;
+    }
+}
--- a/src/main/java/gatefront/rehearsal/CallerStand.java
+++ b/src/main/java/gatefront/rehearsal/CallerStand.java
@@ -272,8 +272,9 @@
             long at = day.micros(machine.sentAt(channel));
             if (at > made.deadline && !day.ways.owes(agent, made.at, at)) {
                 day.checker.released(at, made.id, "its agent was stopped or cut off");
+            } else {
+                day.checker.answered(at, made.id, status, status == 200 ? body : null);
             }
-            day.checker.answered(at, made.id, status, status == 200 ? body : null);
             if (kept) {
                 used = true;
                 idle.addLast(this);
--- a/src/main/java/gatefront/rehearsal/FolderAgent.java
+++ b/src/main/java/gatefront/rehearsal/FolderAgent.java
@@ -80,7 +80,7 @@
         StringBuilder own = new StringBuilder(super.extensions());
         if (keeps) {
             own.append("[recovery]\nfolder = \"").append(folder.resolve("kept")).append("\"\ninstance = \"")
-                .append(name()).append("\"\n");
+                .append(name()).append("\"\nmark_s = 0.5\ndoubt_s = 4\n");
         }
         if (!without.isEmpty()) {
             own.append("[rehearsal]\nwithout = [").append(without.stream().sorted()
--- a/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
@@ -315,7 +315,17 @@
                          long number) {
         event("fault", agent.name(), fault.kind().word());
         switch (fault.kind()) {
-            case KILL -> kill(agent, lasts, () -> state(fault.state(), agent, next, number));
+            case KILL -> {
+                if (fault.state() == ProcessFault.State.ANOTHERS) {
+                    // Both are copied before either changes.
+                    hands.execute(() -> quietly(agent, "of another is copied", () -> {
+                        Folders.copy(next.folder(), copy(agent));
+                        onLoop(() -> kill(agent, lasts, () -> state(fault.state(), agent, number)));
+                    }));
+                } else {
+                    kill(agent, lasts, () -> state(fault.state(), agent, number));
+                }
+            }
             case TERM -> agent.leave(() -> {
                 hand.ended(day.now(), agent.number);
                 again(agent, lasts);
@@ -413,16 +423,15 @@
     }
 
     /** Changes the folder of a process that has ended. */
-    private void state(ProcessFault.State state, FolderAgent agent, FolderAgent next, long number) {
+    private void state(ProcessFault.State state, FolderAgent agent, long number) {
         Path folder = agent.folder();
         String what = state.name().toLowerCase(Locale.ROOT).replace('_', '-');
         switch (state) {
             case KEPT -> { }
             case WIPED -> quietly(agent, what, () -> Folders.remove(folder));
-            case OLDER -> quietly(agent, what, () -> Folders.copy(copy(agent), folder));
+            case OLDER, ANOTHERS -> quietly(agent, what, () -> Folders.copy(copy(agent), folder));
             case TORN -> quietly(agent, what, () -> Folders.tear(folder.resolve("kept")));
             case FLIPPED -> quietly(agent, what, () -> Folders.flip(folder.resolve("kept"), number));
-            case ANOTHERS -> quietly(agent, what, () -> Folders.copy(next.folder(), folder));
             case READ_ONLY -> quietly(agent, what, () -> folder.resolve("kept").toFile().setWritable(false));
         }
     }
--- a/src/main/java/gatefront/status/CallServer.java
+++ b/src/main/java/gatefront/status/CallServer.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** HTTP/1.1 for staff: one call a connection, a bound on connections, a time for a call that does not end. */
 public abstract class CallServer {
@@ -60,8 +61,8 @@
         this.patienceMs = patienceMs;
     }
 
-    /** Answers a call that could be read; on the loop. */
-    protected abstract Reply call(FullHttpRequest request);
+    /** Answers a call that could be read; on the loop, at once or later. */
+    protected abstract void call(FullHttpRequest request, Consumer<Reply> answer);
 
     /** Begins to listen; the future tells whether it could. */
     public final ChannelFuture listen() {
@@ -110,14 +111,16 @@
             }
             answered = true;
             Throwable unread = request.decoderResult().cause();
-            Reply reply;
             if (unread instanceof TooLongHttpHeaderException || unread instanceof TooLongHttpLineException) {
-                reply = Reply.plain(431, "too long\n");
+                answer(ctx, Reply.plain(431, "too long\n"));
             } else if (unread != null) {
-                reply = Reply.plain(400, "not to be read\n");
+                answer(ctx, Reply.plain(400, "not to be read\n"));
             } else {
-                reply = call(request);
+                call(request, reply -> answer(ctx, reply));
             }
+        }
+
+        private void answer(ChannelHandlerContext ctx, Reply reply) {
             byte[] body = reply.text().getBytes(StandardCharsets.UTF_8);
             var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(body));
--- a/src/main/java/gatefront/status/StatusFront.java
+++ b/src/main/java/gatefront/status/StatusFront.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 /** Answers {@code GET /status} and {@code GET /status.json}, one request a connection. */
 public final class StatusFront extends CallServer {
@@ -20,7 +21,11 @@
     }
 
     @Override
-    protected Reply call(FullHttpRequest request) {
+    protected void call(FullHttpRequest request, Consumer<Reply> answer) {
+        answer.accept(reply(request));
+    }
+
+    private Reply reply(FullHttpRequest request) {
         boolean json = request.uri().equals("/status.json");
         if (!request.method().equals(HttpMethod.GET) || !json && !request.uri().equals("/status")) {
             return Reply.plain(404, "there are /status and /status.json\n");
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -15,7 +15,7 @@
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gatefront");
     private static final String[] PURE = {"gatefront.policy..", "gatefront.rehearsal.world..",
         "gatefront.rehearsal.check..", "gatefront.registry.follower..", "gatefront.budget..", "gatefront.limits..",
-        "gatefront.ledger.."};
+        "gatefront.ledger..", "gatefront.recovery.."};
 
     @Test
     void arrowsPointOneWay() {
@@ -35,6 +35,8 @@
         .layer("storage").definedBy("gatefront.storage..")
         .layer("ledger").definedBy("gatefront.ledger..")
         .layer("bookkeeping").definedBy("gatefront.bookkeeping..")
+        .layer("recovery").definedBy("gatefront.recovery..")
+        .layer("keeping").definedBy("gatefront.keeping..")
         .layer("status").definedBy("gatefront.status..")
         .layer("management").definedBy("gatefront.management..")
         .layer("upgrade").definedBy("gatefront.upgrade..")
@@ -50,7 +52,7 @@
         .whereLayer("drill").mayOnlyBeAccessedByLayers("cli")
         .whereLayer("rehearsal").mayOnlyBeAccessedByLayers("cli")
         .whereLayer("connection").mayOnlyAccessLayers("budget", "engine", "membership", "policy", "transport")
-        .whereLayer("engine").mayOnlyAccessLayers("budget", "limits", "membership", "policy", "transport")
+        .whereLayer("engine").mayOnlyAccessLayers("budget", "limits", "membership", "policy", "recovery", "transport")
             .whereLayer("agent").mayOnlyBeAccessedByLayers("cli", "rehearsal")
         .whereLayer("http").mayOnlyBeAccessedByLayers("agent")
         .whereLayer("thrift").mayOnlyBeAccessedByLayers("agent", "rehearsal")
@@ -63,6 +65,9 @@
         .whereLayer("limits").mayNotAccessAnyLayer()
         .whereLayer("storage").mayNotAccessAnyLayer()
         .whereLayer("ledger").mayNotAccessAnyLayer()
+        .whereLayer("recovery").mayNotAccessAnyLayer()
+        .whereLayer("keeping").mayOnlyBeAccessedByLayers("agent", "cli")
+        .whereLayer("keeping").mayOnlyAccessLayers("membership", "recovery", "storage")
         .whereLayer("bookkeeping").mayOnlyBeAccessedByLayers("agent", "cli")
         .whereLayer("bookkeeping").mayOnlyAccessLayers("ledger", "storage")
         .whereLayer("management").mayOnlyBeAccessedByLayers("agent")
