--- a/src/main/java/gatefront/cli/Commands.java
+++ b/src/main/java/gatefront/cli/Commands.java
@@ -8,7 +8,7 @@
 /** All commands but {@code serve} and {@code drill}, which start without loading this. */
 @Command(name = "gatefront",
     subcommands = {RehearseCommand.class, PlanCommand.class, DemoCommand.class, RegistryCommand.class,
-        StatusCommand.class, LedgerCommand.class},
+        StatusCommand.class, LedgerCommand.class, RecoveryCommand.class},
     description = "Load balancing agent with a rehearsal kit.", mixinStandardHelpOptions = true)
 final class Commands {
     /** A rule was broken. */
--- a/src/main/java/gatefront/cli/Main.java
+++ b/src/main/java/gatefront/cli/Main.java
@@ -23,13 +23,15 @@
           plan [PLAN]      print a built-in plan, or check a plan file
           registry         print what a registry holds and how it changes; see registry watch --help
           ledger           look into the books of use by municipio, and correct them; see ledger --help
+          recovery         look at what an agent keeps over its death; see recovery --help
           status ADDRESS   print what a running agent holds, by purpose
           serve            run as an agent, as the configuration in $RELAY_CONFIG says, and the file of our own
                            in $GATEFRONT_EXTENSIONS, where one is named
           drill            decide for the simulator: frames on standard input, replies on standard output
           --help           show this text""";
 
-    private static final Set<String> COMMANDS = Set.of("rehearse", "demo", "plan", "registry", "status", "ledger");
+    private static final Set<String> COMMANDS = Set.of("rehearse", "demo", "plan", "registry", "status", "ledger",
+        "recovery");
 
     private Main() { }
 
--- a/src/main/java/gatefront/keeping/Keeper.java
+++ b/src/main/java/gatefront/keeping/Keeper.java
@@ -8,6 +8,7 @@
 import gatefront.storage.InUseException;
 import gatefront.storage.Keys;
 import gatefront.storage.Store;
+import gatefront.storage.Verify;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -41,6 +42,9 @@
     /** What opening a store has come to. */
     public record Opened(Keeper keeper, Kept kept, Recovery.Store state, String why) { }
 
+    /** What a store holds, and the first damage in it or null. */
+    public record Look(Kept kept, String damage) { }
+
     /** What waits to be written about one thing, and who is told. */
     private record Waiting(byte[] record, List<Consumer<IOException>> told) { }
 
@@ -110,6 +114,13 @@
         }
     }
 
+    /** Looks at a store, which may be in use, and changes nothing. */
+    public static Look look(Path folder) throws IOException {
+        KeptRecords read = new KeptRecords();
+        Verify verify = Verify.of(FolderDisk.existing(folder), OPTIONS.keys(), read);
+        return new Look(read.kept(), verify.damage() == null ? null : verify.damage().getMessage());
+    }
+
     /** Sets what is there aside and begins anew. */
     private String anew() throws IOException {
         Path aside = null;
