--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -251,7 +251,8 @@
 
     private static Agent serve(Config config, Extensions extensions, Path shared, Function<Engine, Balancer> module)
             throws IOException {
-        SocketTransport sockets = new SocketTransport();
+        SocketTransport sockets = new SocketTransport(extensions.recovery() == null ? 0
+            : extensions.recovery().clockOff());
         Neighbour neighbour = shared == null || config.management() == null ? null : new Neighbour(shared,
             Long.toHexString(config.seed()) + "-" + Long.toHexString(sockets.wallMicros()), sockets::log);
         Agent agent = new Agent(config, extensions, sockets, neighbour, module);
--- a/src/main/java/gatefront/agent/RecoveryTable.java
+++ b/src/main/java/gatefront/agent/RecoveryTable.java
@@ -17,8 +17,10 @@
  * @param bounds how old what is kept may be
  * @param markMicros how often it is written that the instance is there
  * @param without guards that a rehearsal has switched off
+ * @param clockOff by how much a rehearsal has set the time of day off, in microseconds
  */
-record RecoveryTable(Path folder, String instance, Beliefs.Bounds bounds, long markMicros, Set<Guard> without) {
+record RecoveryTable(Path folder, String instance, Beliefs.Bounds bounds, long markMicros, Set<Guard> without,
+                     long clockOff) {
     private static final double DOUBT = 30;
     private static final double LIST = 600;
     private static final double AHEAD = 5;
@@ -56,6 +58,7 @@
         }
         return new RecoveryTable(Path.of(table.text("folder", null)), instance, new Beliefs.Bounds(
             (long) (1e6 * doubt), (long) (1e6 * table.number("list_s", LIST, 0, 30 * DAY)), (long) (1e6 * AHEAD)),
-            (long) (1e6 * mark), Set.copyOf(without));
+            (long) (1e6 * mark), Set.copyOf(without),
+            (long) (1e6 * rehearsal.number("clock_s", 0.0, -30 * DAY, 30 * DAY)));
     }
 }
--- a/src/main/java/gatefront/cli/ProcessesCommand.java
+++ b/src/main/java/gatefront/cli/ProcessesCommand.java
@@ -11,7 +11,7 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -39,6 +39,8 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "From which what is drawn follows "
         + "(${DEFAULT-VALUE}); processes repeat nothing exactly.")
     private long seed;
+    @Option(names = "--seeds", paramLabel = "A..B", description = "Play many, one after the other, and sum up.")
+    private String seeds;
     @Option(names = "--report", paramLabel = "DIR", description = "Write report.json, report.html and history.jsonl "
         + "there.")
     private Path report;
@@ -59,31 +61,62 @@
         if (report != null) {
             Files.createDirectories(report);
         }
-        ProcessOutcome outcome = new ProcessRehearsal(read, seed, RealRehearsal.ownCommand(), without,
-            report == null ? null : report.resolve("history.jsonl")).play(done -> { });
-        if (report != null) {
-            Report.write(outcome.outcome(), report);
+        if (seeds == null) {
+            return play(read, seed, report, out).broken() == 0 ? 0 : Commands.BROKEN;
+        }
+        long[] range = RehearseCommand.seeds(seeds, spec);
+        List<Played> all = new ArrayList<>();
+        for (long each = range[0]; each <= range[1]; each++) {
+            all.add(play(read, each, report == null ? null : report.resolve("seed-" + each), out));
+        }
+        summary(all, out);
+        return all.stream().allMatch(each -> each.broken == 0) ? 0 : Commands.BROKEN;
+    }
+
+    /** What is counted of a play: broken rules, seconds to full service (negative for never or unknown), lateness. */
+    private record Played(int broken, double full, long late) { }
+
+    private Played play(ProcessPlan read, long with, Path into, PrintWriter out) throws IOException {
+        if (into != null) {
+            Files.createDirectories(into);
+        }
+        ProcessOutcome outcome = new ProcessRehearsal(read, with, RealRehearsal.ownCommand(), without,
+            into == null ? null : into.resolve("history.jsonl")).play(done -> { });
+        if (into != null) {
+            Report.write(outcome.outcome(), into);
         }
         out.println(outcome.line());
-        List<String> breaches = outcome.breaches();
-        breaches.stream().limit(LINES).forEach(each -> out.println("  BROKEN " + each));
+        outcome.breaches().stream().limit(LINES).forEach(each -> out.println("  BROKEN " + each));
         double[] starts = outcome.starts().stream().mapToDouble(Double::doubleValue).sorted().toArray();
         out.printf(Locale.ROOT, "  %d starts, ready after %.0f ms (median), %.0f ms (worst)%n", starts.length,
-            starts[starts.length / 2], Arrays.stream(starts).max().orElse(0));
+            starts[starts.length / 2], starts[starts.length - 1]);
         out.printf(Locale.ROOT, "  after the first fault: %d list calls in the fullest second (the padron bears %.0f), "
             + "%d connections at the fullest nodo (of %d); the nearest cold nodo got %.2f of what topples it%n",
             outcome.listCallsMost(), read.day().padron().callsPerSecond(), outcome.connectionsMost(),
             read.day().nodos().connections(), outcome.coldMost());
         out.flush();
+        double full = -1;
         if (!noTwin && read.firstFault() >= 0) {
-            ProcessOutcome twin = new ProcessRehearsal(read.twin(), seed, RealRehearsal.ownCommand(), Set.of(), null)
+            ProcessOutcome twin = new ProcessRehearsal(read.twin(), with, RealRehearsal.ownCommand(), Set.of(), null)
                 .play(done -> { });
-            double full = outcome.fullAfter(twin);
+            full = outcome.fullAfter(twin);
             out.println("  " + (full < 0 ? "service was not full again within the day"
                 : String.format(Locale.ROOT, "full service %.2f s after the first fault", full))
                 + String.format(Locale.ROOT, "; without faults %.4f", twin.outcome().service()));
+            out.flush();
+        }
+        return new Played(outcome.broken(), full, outcome.lateness().worst());
+    }
+
+    private static void summary(List<Played> all, PrintWriter out) {
+        double[] full = all.stream().mapToDouble(Played::full).filter(each -> each >= 0).sorted().toArray();
+        out.printf(Locale.ROOT, "%d plays: rules kept on %d; the rig was late by over %d ms on %d%n", all.size(),
+            all.stream().filter(each -> each.broken == 0).count(), ProcessOutcome.LATE_MOST / 1000,
+            all.stream().filter(each -> each.late > ProcessOutcome.LATE_MOST).count());
+        if (full.length > 0) {
+            out.printf(Locale.ROOT, "full service again on %d: %.2f s after the first fault (median), %.2f s (worst)%n",
+                full.length, full[full.length / 2], full[full.length - 1]);
         }
         out.flush();
-        return outcome.broken() == 0 ? 0 : Commands.BROKEN;
     }
 }
--- a/src/main/java/gatefront/cli/RehearseCommand.java
+++ b/src/main/java/gatefront/cli/RehearseCommand.java
@@ -145,16 +145,24 @@
             report == null ? "" : "; to be looked at: " + report.resolve("report.html"));
     }
 
-    private int many(Plan read, PrintWriter out) {
-        Matcher range = SEEDS.matcher(seeds);
+    /** The first and the last of a range of seeds. */
+    static long[] seeds(String text, CommandSpec of) {
+        Matcher range = SEEDS.matcher(text);
         if (!range.matches()) {
-            throw new ParameterException(spec.commandLine(), "--seeds is a range as in 1..100, not " + seeds);
+            throw new ParameterException(of.commandLine(), "--seeds is a range as in 1..100, not " + text);
         }
         long from = Long.parseLong(range.group(1));
         long until = Long.parseLong(range.group(2));
         if (from > until || until - from >= SEEDS_MOST) {
-            throw new ParameterException(spec.commandLine(), "--seeds runs upwards, over a million at the most");
+            throw new ParameterException(of.commandLine(), "--seeds runs upwards, over a million at the most");
         }
+        return new long[] {from, until};
+    }
+
+    private int many(Plan read, PrintWriter out) {
+        long[] range = seeds(seeds, spec);
+        long from = range[0];
+        long until = range[1];
         boolean watched = System.console() != null;
         Seeds.Summary summary = Seeds.play(read, from, until, done -> progress(watched, done),
             outcome -> out.println(outcome.line()));
--- a/src/main/java/gatefront/rehearsal/FolderAgent.java
+++ b/src/main/java/gatefront/rehearsal/FolderAgent.java
@@ -22,6 +22,7 @@
     private final Set<String> without;
     private final Consumer<Process> begun;
     private InetSocketAddress front;
+    private double clockOff;
     /** The list in the file that staff wrote: as it was at the first start. */
     private JsonNode known;
 
@@ -41,6 +42,11 @@
         this.begun = begun;
     }
 
+    /** The time of day of its next process is off by so many seconds. */
+    void clockOff(double seconds) {
+        clockOff = seconds;
+    }
+
     /** All that it keeps. */
     Path folder() {
         return folder;
@@ -82,9 +88,9 @@
             own.append("[recovery]\nfolder = \"").append(folder.resolve("kept")).append("\"\ninstance = \"")
                 .append(name()).append("\"\nmark_s = 0.5\ndoubt_s = 4\n");
         }
-        if (!without.isEmpty()) {
-            own.append("[rehearsal]\nwithout = [").append(without.stream().sorted()
-                .map(each -> '"' + each + '"').collect(Collectors.joining(", "))).append("]\n");
+        if (!without.isEmpty() || clockOff != 0) {
+            own.append("[rehearsal]\nclock_s = ").append(clockOff).append("\nwithout = [").append(without.stream()
+                .sorted().map(each -> '"' + each + '"').collect(Collectors.joining(", "))).append("]\n");
         }
         return own.toString();
     }
--- a/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
@@ -314,6 +314,9 @@
     private void happens(ProcessFault fault, FolderAgent agent, FolderAgent next, long lasts, double size,
                          long number) {
         event("fault", agent.name(), fault.kind().word());
+        if (fault.kind() == ProcessFault.Kind.KILL || fault.kind() == ProcessFault.Kind.TERM) {
+            agent.clockOff(fault.clock());
+        }
         switch (fault.kind()) {
             case KILL -> {
                 if (fault.state() == ProcessFault.State.ANOTHERS) {
--- a/src/main/java/gatefront/rehearsal/RealRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/RealRehearsal.java
@@ -63,11 +63,22 @@
         this.agentCommand = List.copyOf(agentCommand);
     }
 
-    /** The command that runs an agent with the classes of this very program. */
+    /**
+     * The command that runs an agent with the classes of this very program, and with the archive of classes that lies
+     * beside its jar, if one does, as in service: without it a start takes twice the processor.
+     */
     public static List<String> ownCommand() {
-        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:MaxDirectMemorySize=16m", "-cp",
-            System.getProperty("java.class.path"), "gatefront.cli.Main", "serve");
+        String classes = System.getProperty("java.class.path");
+        Path archive = Path.of(classes.replaceFirst("\\.jar$", ".jsa"));
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:MaxDirectMemorySize=16m"));
+        if (classes.endsWith(".jar") && Files.exists(archive)) {
+            command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive, "-Xlog:disable",
+                "-Xlog:all=error:stderr"));
+        }
+        command.addAll(List.of("-cp", classes, "gatefront.cli.Main", "serve"));
+        return List.copyOf(command);
     }
 
     /**
--- a/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
+++ b/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
@@ -14,6 +14,7 @@
  * @param names the agents that it meets, instead of a share
  * @param spread over how many seconds they are met, one after the other
  * @param state what becomes of the folder of a process that is killed
+ * @param clock by how many seconds the time of day of the next process is off
  * @param saved of {@link State#OLDER}: the second of which the copy is
  * @param links which links, for what happens to those
  * @param direction which of their directions
@@ -21,7 +22,7 @@
  * @param nodos whom a call by hand is about
  */
 public record ProcessFault(Kind kind, Range at, Range lasts, double share, List<String> names, Range spread,
-                           State state, double saved, Links links, Direction direction, Range size,
+                           State state, double clock, double saved, Links links, Direction direction, Range size,
                            List<String> nodos) {
     /** What may happen. */
     public enum Kind {
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -20,6 +20,17 @@
 public final class SocketTransport implements Transport {
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private final long clockOff;
+
+    /** With the system's time of day. */
+    public SocketTransport() {
+        this(0);
+    }
+
+    /** With a time of day that is off by so many microseconds, for rehearsals. */
+    public SocketTransport(long clockOff) {
+        this.clockOff = clockOff;
+    }
 
     @Override
     public EventLoop loop() {
@@ -28,7 +39,7 @@
 
     @Override
     public long wallMicros() {
-        return 1000 * System.currentTimeMillis();
+        return 1000 * System.currentTimeMillis() + clockOff;
     }
 
     @Override
