A new or stalled process sends nothing on before it has heard the list, also in run

Change: Engine holds events back while Waking doubts: from the start until the first list, for the grace at the most; and after a gap of the grace less 0.1 s between two events once it is ready, until a list asked for anew, 0.3 s at the most. The guard was there for [recovery] alone; it is in run now.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -96,6 +96,8 @@
     /** Whether a list has come, or has been waited for long enough; and whether the path has been run. */
     private boolean listed;
     private boolean warm;
+    /** Whether it has been ready, and looks out for standstills since. */
+    private boolean wakes;
     /** Whether it listens for callers. */
     private boolean serves;
     private boolean binding;
@@ -340,6 +342,10 @@
         if (keeper != null) {
             keeper.start();
         }
+        // Guards against sending to what the list before had and this one has not: a new process is told from its first
+        // moment, and the list it starts with may be old. Harm: with nobody to tell, calls wait for so long.
+        long grace = Math.min(FIRST_LIST_MS, config.settings().obligations().drainGrace() / 1_000);
+        engine.wakes(Waking.starting(transport.nanos() / 1_000, grace * 1_000), grace, () -> { });
         Discovery.Listing known;
         try {
             known = Discovery.decode(recovering == null ? config.known() : recovering.known(config.known()), config);
@@ -370,8 +376,15 @@
 
     /** It may have become ready; what recovers is told once. */
     private void serves() {
-        if (recovering != null && ready() && recovering.serves() && recovering.guards(RecoveryTable.Guard.WAKING)) {
-            wakes(); // before that its loop is busy with its own start
+        if (!ready() || wakes) {
+            return;
+        }
+        wakes = true; // before that its loop is busy with its own start
+        if (recovering != null) {
+            recovering.serves();
+        }
+        if (recovering == null || recovering.guards(RecoveryTable.Guard.WAKING)) {
+            wakes();
         }
     }
 
@@ -379,7 +392,7 @@
     private void wakes() {
         long grace = config.settings().obligations().drainGrace();
         Waking waking = new Waking(Math.max(BEAT_MS * 2_000, grace - BEAT_MS * 1_000), HEAR_MICROS);
-        engine.wakes(waking, () -> {
+        engine.wakes(waking, HEAR_MICROS / 1000, () -> {
             say(String.format(Locale.ROOT, "recovery: it stood still for %.1f s; nothing is sent on before the list "
                 + "has been heard, for %d ms at the most", waking.gap() / 1e6, HEAR_MICROS / 1000));
             if (asksPadron()) {
--- a/src/main/java/gatefront/agent/Recovering.java
+++ b/src/main/java/gatefront/agent/Recovering.java
@@ -147,11 +147,10 @@
         config = to;
     }
 
-    /** The agent takes callers; whether it does so for the first time. */
-    boolean serves() {
-        boolean first = recovery.serves(transport.wallMicros());
+    /** The agent takes callers. */
+    void serves() {
+        recovery.serves(transport.wallMicros());
         say();
-        return first;
     }
 
     /**
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -31,8 +31,6 @@
     public static final long RETRY_AFTER_MICROS = 250_000;
     /** Of the caller's time, what the answer's way back and a late wake-up may take. */
     private static final long MARGIN_MICROS = 10_000;
-    /** Looked at again so long after a standstill, when whoever was to tell has had the time. */
-    private static final long HEARD_LATEST_MS = 310;
     private static final Pattern SERVER = Pattern.compile("^server (-?\\d+)");
 
     private final Transport transport;
@@ -66,6 +64,7 @@
     /** Whether this process has stood still; null where nobody asks. */
     private Waking waking;
     private Runnable whenWoken;
+    private long patienceMs;
     /** Events of the module that wait until it has heard; no more than came within that time. */
     private final List<Runnable> held = new ArrayList<>();
 
@@ -199,18 +198,25 @@
         event(null, event);
     }
 
-    /** From now on nothing is decided after a standstill before {@link #heard()}; {@code woken} is to see to that. */
-    public void wakes(Waking by, Runnable woken) {
+    /**
+     * Nothing is decided from now on while {@code by} doubts what this process knows: events wait for {@link #heard()},
+     * or for its patience to end.
+     *
+     * @param patienceMs when it is looked at again at the latest
+     * @param woken runs after a standstill, to see to it that somebody tells
+     */
+    public void wakes(Waking by, long patienceMs, Runnable woken) {
         waking = by;
+        this.patienceMs = patienceMs;
         whenWoken = woken;
+        lookAgain();
     }
 
     /** Nothing may be happening; looks at the clock. */
     public void beat() {
-        if (doubts()) {
-            return;
+        if (!doubts()) {
+            release();
         }
-        release();
     }
 
     /** A whole list has come: what was held back is decided now. */
@@ -221,6 +227,10 @@
         }
     }
 
+    private void lookAgain() {
+        loop.schedule(this::beat, patienceMs + 1, TimeUnit.MILLISECONDS);
+    }
+
     private boolean doubts() {
         if (waking == null) {
             return false;
@@ -228,12 +238,15 @@
         long now = transport.nanos() / 1000;
         if (waking.seen(now)) {
             whenWoken.run();
-            loop.schedule(this::beat, HEARD_LATEST_MS, TimeUnit.MILLISECONDS);
+            lookAgain();
         }
         return waking.doubts(now);
     }
 
     private void release() {
+        if (waking != null && !waking.goesOn()) {
+            waking = null;
+        }
         if (!held.isEmpty()) {
             List<Runnable> now = List.copyOf(held);
             held.clear();
@@ -365,7 +378,11 @@
         long deadline = now() + guard(pending);
         Balancer.Request request = new Balancer.Request(id, call.requestClass(), call.tenant(), call.key(),
             call.hint(), deadline, call.repeated(), false);
-        event(pending, () -> balancer.request(now(), request));
+        event(pending, () -> {
+            if (!pending.answered) { // its caller's time may have passed while it was held back
+                balancer.request(now(), request);
+            }
+        });
     }
 
     /** Gives a call up when its caller's time from now on has passed; returns that time. */
--- a/src/main/java/gatefront/recovery/Recovery.java
+++ b/src/main/java/gatefront/recovery/Recovery.java
@@ -97,12 +97,10 @@
         }
     }
 
-    /** It takes callers; whether it has just begun to. */
-    public boolean serves(long now) {
-        boolean first = !serves;
+    /** It takes callers. */
+    public void serves(long now) {
         serves = true;
         step(now);
-        return first;
     }
 
     private void step(long now) {
--- a/src/main/java/gatefront/recovery/Waking.java
+++ b/src/main/java/gatefront/recovery/Waking.java
@@ -1,9 +1,9 @@
 package gatefront.recovery;
 
 /**
- * Whether this process has stood still (stopped, swapped out, its machine asleep) for so long that it may have missed a
- * drain, and so must not send anything on before it has heard from those who know. It is told each time that something
- * happens, and by a beat when nothing does: a longer gap between two times is a standstill.
+ * Whether this process has just started, or has stood still (stopped, swapped out, its machine asleep) for so long that
+ * it may have missed a drain, and so must not send anything on before it has heard from those who know. It is told each
+ * time that something happens, and by a beat when nothing does: a longer gap between two times is a standstill.
  *
  * <p>Why not by the list's age: while this process stood still nobody told it anything, and its own view of the list
  * looks as fresh as it did before. Times are microseconds of a clock that goes on while the process stands still.
@@ -27,6 +27,14 @@
         this.patience = patience;
     }
 
+    /** One that has just started and was told nothing yet; it notices no standstill. */
+    public static Waking starting(long now, long patience) {
+        Waking waking = new Waking(Long.MAX_VALUE, patience);
+        waking.wokeAt = now;
+        waking.doubting = true;
+        return waking;
+    }
+
     /** Something happens; returns whether the process has just woken. */
     public boolean seen(long now) {
         boolean woke = last != Long.MIN_VALUE && now - last > gapMost;
@@ -39,6 +47,11 @@
         return woke;
     }
 
+    /** Whether it would notice a standstill: one that only starts has done its work once it has heard. */
+    public boolean goesOn() {
+        return gapMost < Long.MAX_VALUE;
+    }
+
     /** Those who know have told all that there is. */
     public void heard() {
         doubting = false;
--- a/src/test/java/gatefront/agent/AgentTest.java
+++ b/src/test/java/gatefront/agent/AgentTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.config.Config;
 import gatefront.policy.Balancer;
@@ -604,4 +605,39 @@
         stage.config.remove("settings");
         assertThrows(IllegalArgumentException.class, () -> Config.of(stage.config));
     }
+
+    /** What the list at the start had and the first one has not gets nothing: this process counts as told of that. */
+    @Test
+    void nothingIsSentByTheListOfBeforeWhileTheFirstOneIsOnItsWay() throws Exception {
+        CountDownLatch called = new CountDownLatch(1);
+        Peer gone = stage.server((message, socket) -> Peer.answer(socket, 200, "", "old"));
+        Peer stays = stage.peer((message, socket) -> Peer.answer(socket, 200, "", "new"));
+        ObjectNode list = stage.config.get("known").deepCopy();
+        ((ArrayNode) list.get("endpoints")).removeAll().add(Stage.endpoint(2, stays.address(), "Ready"));
+        Peer slow = stage.peer((message, socket) -> {
+            called.await();
+            Peer.answer(socket, 200, "", list.toString());
+        });
+        stage.config.put("discovery", slow.address());
+        stage.settings("obligations", o -> o.put("stop-sending-within-us", 900_000));
+        stage.agent = Agent.start(Config.of(stage.config));
+        Socket socket = stage.dial();
+        Peer.write(socket, stage.request("lookup", 8_000, ""));
+        called.countDown();
+        assertEquals("new", new String(Peer.read(socket.getInputStream()).body()));
+        assertEquals(0, gone.requests.size());
+    }
+
+    /** With nobody to tell, the list of before has to do. */
+    @Test
+    void whereNobodyTellsTheListOfBeforeServesAfterTheGrace() throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "old"));
+        Peer silent = stage.peer((message, socket) -> new CountDownLatch(1).await());
+        stage.config.put("discovery", silent.address());
+        stage.agent = Agent.start(Config.of(stage.config));
+        long at = System.nanoTime();
+        Socket socket = stage.dial();
+        assertEquals("old", new String(Stage.exchange(socket, stage.request("lookup", 8_000, "")).body()));
+        assertTrue(System.nanoTime() - at < 3_000_000_000L);
+    }
 }
