Rig: no caller sends after its time is up; full disks, and a timeline of each start

Part of it was the rig's: a caller whose connection came up after its time had passed sent all the same, with 1 ms to go, and blamed the agent for the answer (taken at 4.616 s, answered 503 at 4.627, '0.149 s late'). Callers give such a try up now.

Change besides: 'disk_kb' of a kill or an end makes the next process's disk full at that size; a yes that says 'not kept' binds its process alone. The report tells how long starts took until they listened, were ready and served.

--- a/src/main/java/gatefront/cli/ProcessesCommand.java
+++ b/src/main/java/gatefront/cli/ProcessesCommand.java
@@ -87,9 +87,7 @@
         }
         out.println(outcome.line());
         outcome.breaches().stream().limit(LINES).forEach(each -> out.println("  BROKEN " + each));
-        double[] starts = outcome.starts().stream().mapToDouble(Double::doubleValue).sorted().toArray();
-        out.printf(Locale.ROOT, "  %d starts, ready after %.0f ms (median), %.0f ms (worst)%n", starts.length,
-            starts[starts.length / 2], starts[starts.length - 1]);
+        out.println("  " + outcome.timeline().line());
         out.printf(Locale.ROOT, "  after the first fault: %d list calls in the fullest second (the padron bears %.0f), "
             + "%d connections at the fullest nodo (of %d); the nearest cold nodo got %.2f of what topples it%n",
             outcome.listCallsMost(), read.day().padron().callsPerSecond(), outcome.connectionsMost(),
--- a/src/main/java/gatefront/rehearsal/CallerStand.java
+++ b/src/main/java/gatefront/rehearsal/CallerStand.java
@@ -152,6 +152,10 @@
     }
 
     private void place(Try made) {
+        if (day.now() >= made.deadline) { // sent again after a close that crossed it, and nobody waits any more
+            end(made, Patience.Fate.TIMED_OUT, 0);
+            return;
+        }
         Line line = idle.pollLast();
         if (line != null) {
             line.send(made);
@@ -175,8 +179,12 @@
         connecting.addListener(done -> {
             if (made.over) {
                 fresh.channel.close();
-            } else if (done.isSuccess()) {
+            } else if (done.isSuccess() && day.now() < made.deadline) {
                 fresh.send(made);
+            } else if (done.isSuccess()) {
+                // Guards against blaming an agent that gets a request when nobody waits for its answer any more.
+                fresh.channel.close();
+                end(made, Patience.Fate.TIMED_OUT, 0);
             } else {
                 end(made, Patience.Fate.UNREACHED, 0);
             }
@@ -281,6 +289,9 @@
             } else {
                 channel.close();
             }
+            if (status == 200) {
+                day.ways.served(at, agent);
+            }
             Patience.Fate fate = status == 200 ? Patience.Fate.SERVED
                 : status == 429 || status == 503 ? Patience.Fate.REFUSED : Patience.Fate.FAILED;
             if (fate == Patience.Fate.REFUSED) {
--- a/src/main/java/gatefront/rehearsal/Day.java
+++ b/src/main/java/gatefront/rehearsal/Day.java
@@ -68,6 +68,9 @@
             return true;
         }
 
+        /** An agent has served a caller. */
+        default void served(long now, int agent) { }
+
         /** The first of an attempt has come to a nodo. */
         default void begun(long now, int agent, int nodo) { }
     }
--- a/src/main/java/gatefront/rehearsal/FolderAgent.java
+++ b/src/main/java/gatefront/rehearsal/FolderAgent.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -23,6 +24,7 @@
     private final Consumer<Process> begun;
     private InetSocketAddress front;
     private double clockOff;
+    private int diskMost;
     /** The list in the file that staff wrote: as it was at the first start. */
     private JsonNode known;
 
@@ -47,6 +49,11 @@
         clockOff = seconds;
     }
 
+    /** Its next process may write no file longer than so many kilobytes; 0 for any. */
+    void diskMost(int kilobytes) {
+        diskMost = kilobytes;
+    }
+
     /** All that it keeps. */
     Path folder() {
         return folder;
@@ -77,6 +84,12 @@
 
     @Override
     void prepare(ProcessBuilder builder) throws IOException {
+        if (diskMost > 0) { // the system refuses what is beyond, as a full disk does
+            List<String> limited = new ArrayList<>(List.of("bash", "-c", "ulimit -f " + diskMost
+                + "; exec \"$@\"", "bash"));
+            limited.addAll(builder.command());
+            builder.command(limited);
+        }
         builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
         builder.environment().put("RELAY_MANAGEMENT", door().getAddress().getHostAddress() + ":" + DOOR_PORT);
     }
--- a/src/main/java/gatefront/rehearsal/ProcessOutcome.java
+++ b/src/main/java/gatefront/rehearsal/ProcessOutcome.java
@@ -5,6 +5,7 @@
 import gatefront.rehearsal.check.ServiceCurve;
 import gatefront.rehearsal.processes.Lateness;
 import gatefront.rehearsal.processes.ProcessPlan;
+import gatefront.rehearsal.processes.Timeline;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -17,12 +18,10 @@
  * @param outcome the day, as any other rehearsal has it
  * @param hand what was done by hand, and whether it held
  * @param lateness of the rig
- * @param starts how long each start of an agent took until it was ready, in milliseconds, in their order
- * @param lastRestart the second at which the last process that had ended was started again; negative if none was
- * @param lastReady the second at which the last of those was ready; negative if none was
+ * @param timeline how starts under way went
  */
 public record ProcessOutcome(ProcessPlan plan, Outcome outcome, HandChecker hand, Lateness lateness,
-                             List<Double> starts, double lastRestart, double lastReady) {
+                             Timeline timeline) {
     /** The rig is to be late by no more, in microseconds. */
     public static final long LATE_MOST = 20_000;
 
--- a/src/main/java/gatefront/rehearsal/RelayWays.java
+++ b/src/main/java/gatefront/rehearsal/RelayWays.java
@@ -8,6 +8,7 @@
 import gatefront.rehearsal.processes.Relay;
 import gatefront.rehearsal.processes.Relay.Way;
 import gatefront.rehearsal.processes.Shape;
+import gatefront.rehearsal.processes.Timeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -53,6 +54,7 @@
     private final InetAddress host;
     private final HandChecker hand;
     private final Chronicle chronicle;
+    private final Timeline timeline;
     private final Map<Key, Relay> relays = new HashMap<>();
     /** By agent, kind and direction; one that is clear has none. */
     private final Map<String, Shape> shapes = new HashMap<>();
@@ -60,12 +62,13 @@
     private final Map<String, Span> troubled = new HashMap<>();
 
     RelayWays(Day day, Lateness lateness, EventLoopGroup loops, InetAddress host, HandChecker hand,
-              Chronicle chronicle) {
+              Chronicle chronicle, Timeline timeline) {
         super(day, lateness);
         this.loops = loops;
         this.host = host;
         this.hand = hand;
         this.chronicle = chronicle;
+        this.timeline = timeline;
     }
 
     private static String at(int agent, Links kind) {
@@ -193,6 +196,11 @@
         return (stop == null || !stop.meets(from, until)) && (link == null || !link.meets(from, until));
     }
 
+    @Override
+    public void served(long now, int agent) {
+        timeline.reached(agent, Timeline.Mark.SERVES, now);
+    }
+
     @Override
     public void begun(long now, int agent, int nodo) {
         hand.begun(now, agent, nodo);
--- a/src/main/java/gatefront/rehearsal/check/HandChecker.java
+++ b/src/main/java/gatefront/rehearsal/check/HandChecker.java
@@ -28,6 +28,8 @@
     private final long grace;
     private final Map<Held, Long> out = new HashMap<>();
     private final Set<Integer> lost = new HashSet<>();
+    /** Those of {@link #out} that staff were told would end with the process. */
+    private final Set<Held> passing = new HashSet<>();
     /** The first attempt of each pair in each process; they go with the process. */
     private final List<Suspect> suspects = new ArrayList<>();
     private final List<String> breaches = new ArrayList<>();
@@ -38,12 +40,19 @@
         this.grace = grace;
     }
 
-    /** An agent has said yes to a call. */
-    public void yes(long now, int agent, int nodo, boolean isOut) {
+    /** An agent has said yes to a call; whether it said that a restart would still know it. */
+    public void yes(long now, int agent, int nodo, boolean isOut, boolean kept) {
+        Held held = new Held(agent, nodo);
         if (isOut) {
-            out.putIfAbsent(new Held(agent, nodo), now);
+            out.putIfAbsent(held, now);
+            if (kept) {
+                passing.remove(held);
+            } else {
+                passing.add(held);
+            }
         } else {
-            out.remove(new Held(agent, nodo));
+            out.remove(held);
+            passing.remove(held);
         }
     }
 
@@ -52,6 +61,7 @@
         lost.remove(agent);
         settle(now, agent, false);
         suspects.removeIf(each -> each.held.agent == agent);
+        passing.removeIf(each -> each.agent == agent && out.remove(each) != null);
     }
 
     /** An agent has told staff, since its start, that it does not know what was out by hand. */
--- a/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
+++ b/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
@@ -15,6 +15,7 @@
  * @param spread over how many seconds they are met, one after the other
  * @param state what becomes of the folder of a process that is killed
  * @param clock by how many seconds the time of day of the next process is off
+ * @param disk of how many kilobytes the next process can write a file at the most; 0 for any
  * @param saved of {@link State#OLDER}: the second of which the copy is
  * @param links which links, for what happens to those
  * @param direction which of their directions
@@ -22,8 +23,8 @@
  * @param nodos whom a call by hand is about
  */
 public record ProcessFault(Kind kind, Range at, Range lasts, double share, List<String> names, Range spread,
-                           State state, double clock, double saved, Links links, Direction direction, Range size,
-                           List<String> nodos) {
+                           State state, double clock, int disk, double saved, Links links, Direction direction,
+                           Range size, List<String> nodos) {
     /** What may happen. */
     public enum Kind {
         /** SIGKILL, and a start after the time. */ KILL, /** SIGTERM, and a start when it has ended. */ TERM,
