Frontends read what has arrived before they close a silent connection

Cause: a client was judged by its silence on the clock also where nobody had read from its socket. In the run of AgentTest.noRequestIsLostAtTheSocketLimit, traced on a copy and stopped and continued every 0.15 s, a second way was seen: a connection closed at age 150.7 ms with nothing unread, its client suspended by the same hold, which wrote 151.3 ms after connecting.

Nothing is added per request.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -696,6 +696,9 @@
         // Responses that are still being written keep their connections open.
         if (frontends.stream().allMatch(Frontend::isEmpty)) {
             frontends.forEach(Frontend::stopListening);
+        }
+        // Stopping accepts connections that were pending; their requests are answered first.
+        if (frontends.stream().allMatch(Frontend::isEmpty)) {
             close();
         } else {
             loop.schedule(this::closeWhenDrained, 10, TimeUnit.MILLISECONDS);
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -55,7 +55,9 @@
 
     /** Keep-alive timeout under pressure, and the idle time before a connection may be closed to admit another. */
     private static final long MIN_KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** Age before a silent new connection may be closed to admit another: its first request may be on its way. */
+    /**
+     * Active time before a silent new connection may be closed to admit another: its first request may be on its way.
+     */
     private static final long MIN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Longest time for writing the last response of a connection. */
     private static final long LAST_WRITE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
@@ -73,6 +75,11 @@
     private static final double PRESSURE_FRACTION = 0.6;
 
     private static final long SWEEP_MS = 100;
+    /** Interval at which active time is counted while connections or resources are getting scarce. */
+    private static final long ACTIVE_TIME_TICK_MS = 20;
+
+    private static final long MAX_ACTIVE_TIME_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(2 * ACTIVE_TIME_TICK_MS);
+
     private final Transport transport;
     private final InetSocketAddress listenAddress;
     private final int maxConnections;
@@ -86,6 +93,10 @@
     private final ResourceAccount connectionAccount;
     private final ResourceAccount requestAccount;
     private final ResourceAccount responseAccount;
+    /** Counts while connections or resources are scarce; the silence of new connections is measured by it. */
+    private final ActiveTime activeTime = new ActiveTime(MAX_ACTIVE_TIME_GAP_NANOS);
+
+    private boolean evictionScheduled;
     private boolean markedNotReady;
     /** Whether each connection is closed after its next response, because the agent is shutting down. */
     private boolean closeAfterResponse;
@@ -169,15 +180,19 @@
     @Override
     public void drain() {
         closeAfterResponse = true;
-        List.copyOf(connectionsByState.get(State.NEW)).forEach(Connection::closeAfterFlush);
-        List.copyOf(connectionsByState.get(State.KEEP_ALIVE)).forEach(Connection::closeAfterFlush);
+        closeSilent(List.copyOf(connectionsByState.get(State.NEW)));
+        closeSilent(List.copyOf(connectionsByState.get(State.KEEP_ALIVE)));
     }
 
     @Override
     public void stopListening() {
-        serverChannel.close();
+        transport.closeSharedListener(serverChannel);
         drain();
-        List.copyOf(connectionsByState.get(State.READING_REQUEST)).forEach(Connection::closeAfterFlush);
+        closeSilent(List.copyOf(connectionsByState.get(State.READING_REQUEST)));
+    }
+
+    private void closeSilent(List<Connection> candidates) {
+        candidates.forEach(Connection::closeIfSilent);
     }
 
     @Override
@@ -202,49 +217,78 @@
      * next request may be on its way.
      */
     private void enforceConnectionLimit() {
-        long now = transport.nanos();
-        while (connections.size()
-                                - connectionsByState.get(State.LINGERING).size()
-                                - connectionsByState
-                                        .get(State.WRITING_LAST_RESPONSE)
-                                        .size()
-                        >= maxConnections
-                || connectionAccount.isFull()) {
-            Connection oldest = oldestInStateSince(State.NEW, now - MIN_SILENCE_NANOS);
-            oldest = oldest == null ? oldestInStateSince(State.KEEP_ALIVE, now - MIN_KEEP_ALIVE_NANOS) : oldest;
+        if (isAtConnectionLimit() && !evictionScheduled) {
+            // As a task, and not while a channel is being read: closing reads from other channels.
+            evictionScheduled = true;
+            transport.loop().execute(this::evictSilentConnections);
+        }
+        if (isUnderPressure() && !activeTime.isRunning()) {
+            activeTime.start(transport.nanos());
+            scheduleActiveTimeTick();
+        }
+        updateAccepting();
+    }
+
+    private void scheduleActiveTimeTick() {
+        transport.loop().schedule(this::advanceActiveTime, ACTIVE_TIME_TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void advanceActiveTime() {
+        activeTime.advance(transport.nanos());
+        if (isUnderPressure()) {
+            scheduleActiveTimeTick();
+        } else {
+            activeTime.stop();
+        }
+    }
+
+    private void evictSilentConnections() {
+        evictionScheduled = false;
+        while (isAtConnectionLimit()) {
+            Connection oldest = oldestEvictable();
             if (oldest == null) {
                 break;
             }
-            oldest.closeAfterFlush();
-            if (connectionAccount.isFull()) {
+            if (oldest.closeIfSilent() && connectionAccount.isFull()) {
                 break; // it leaves the account once its output is flushed; the next sweep sees that
             }
         }
+        updateAccepting();
+    }
+
+    /** Returns whether a connection has to be closed before another is accepted; those being closed do not count. */
+    private boolean isAtConnectionLimit() {
+        int closing = connectionsByState.get(State.LINGERING).size()
+                + connectionsByState.get(State.WRITING_LAST_RESPONSE).size();
+        return connections.size() - closing >= maxConnections || connectionAccount.isFull();
+    }
+
+    private Connection oldestEvictable() {
+        Connection oldest = oldestInState(State.NEW);
+        if (oldest != null && activeTime.elapsedNanos() - oldest.stateSinceActiveNanos >= MIN_SILENCE_NANOS) {
+            return oldest;
+        }
+        oldest = oldestInState(State.KEEP_ALIVE);
+        return oldest != null && transport.nanos() - oldest.stateSinceNanos >= MIN_KEEP_ALIVE_NANOS ? oldest : null;
+    }
+
+    private void updateAccepting() {
         serverChannel.config().setAutoRead(connections.size() < maxConnections && !connectionAccount.isFull());
     }
 
-    /**
-     * Returns the connection that has been in a state for longest if it entered it by {@code sinceNanos}, else null.
-     */
-    private Connection oldestInStateSince(State state, long sinceNanos) {
+    /** Returns the connection that has been in a state for longest, or null. */
+    private Connection oldestInState(State state) {
         Set<Connection> candidates = connectionsByState.get(state);
-        Connection oldest = candidates.isEmpty() ? null : candidates.iterator().next();
-        return oldest != null && oldest.stateSinceNanos - sinceNanos <= 0 ? oldest : null;
+        return candidates.isEmpty() ? null : candidates.iterator().next();
     }
 
     /**
      * Closes connections whose timeout has passed. Guards against descriptors and memory held for unresponsive clients.
      */
     private void sweep() {
-        expired(State.NEW, FIRST_BYTE_TIMEOUT_NANOS).forEach(Connection::closeAfterFlush);
-        expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS)
-                .forEach(Connection::closeAfterFlush);
-        for (Connection connection : expired(State.READING_REQUEST, READ_TIMEOUT_NANOS)) {
-            connection.onReadTimeout();
-            if (connection.state == State.READING_REQUEST) {
-                connection.channel.close(); // no error could be sent, as the client does not read either
-            }
-        }
+        closeSilent(expired(State.NEW, FIRST_BYTE_TIMEOUT_NANOS));
+        closeSilent(expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS));
+        expired(State.READING_REQUEST, READ_TIMEOUT_NANOS).forEach(Connection::timeOutIfSilent);
         expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS).stream()
                 .filter(connection -> !connection.channel.isWritable())
                 .forEach(connection -> connection.channel.close());
@@ -275,6 +319,8 @@
 
         private State state;
         private long stateSinceNanos;
+        /** Active time of the frontend when the state was entered. */
+        private long stateSinceActiveNanos;
         /** Bytes that the bodies of its requests hold in memory. */
         private int heldBytes;
 
@@ -301,6 +347,7 @@
             }
             state = newState;
             stateSinceNanos = transport.nanos();
+            stateSinceActiveNanos = activeTime.elapsedNanos();
             if (state != null) {
                 connectionsByState.get(state).add(this);
             }
@@ -374,9 +421,37 @@
             }
         }
 
-        /** Closes the connection once pending output has been written. */
-        protected final void closeAfterFlush() {
-            closeAfterWrite(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), false);
+        /**
+         * Closes the connection unless input has arrived that changes its state, as a request sent while the loop was
+         * held up does: closing would lose it.
+         *
+         * @return whether the connection was closed
+         */
+        private boolean closeIfSilent() {
+            boolean silent = isSilent();
+            if (silent) {
+                closeAfterWrite(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), false);
+            }
+            return silent;
+        }
+
+        /** Ends a partly received request unless input has arrived that changes the connection's state. */
+        private void timeOutIfSilent() {
+            if (!isSilent()) {
+                return;
+            }
+            onReadTimeout();
+            if (state == State.READING_REQUEST) {
+                channel.close(); // no error could be sent, as the client does not read either
+            }
+        }
+
+        /** Reads what has arrived; returns whether the state of the connection is still the same. */
+        private boolean isSilent() {
+            State stateBefore = state;
+            long sinceBeforeNanos = stateSinceNanos;
+            transport.readArrivedInput(channel);
+            return state == stateBefore && stateSinceNanos == sinceBeforeNanos;
         }
     }
 }
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -70,6 +71,15 @@
         return ((ClientChannel) channel).hasNoUnreadInput();
     }
 
+    @Override
+    public void readArrivedInput(Channel channel) {
+        if (channel.isActive()
+                && channel.config().isAutoRead()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+    }
+
     @Override
     public long maxMemoryBytes() {
         return Runtime.getRuntime().maxMemory();
--- a/src/main/java/gatefront/transport/Transport.java
+++ b/src/main/java/gatefront/transport/Transport.java
@@ -46,6 +46,13 @@
      */
     boolean hasNoUnreadInput(Channel channel);
 
+    /**
+     * Reads the input of a channel that has arrived but has not been read by the loop, unless reading is paused; the
+     * channel's handlers see it before this method returns. To be called on the loop before a peer is judged by its
+     * silence: the process may have been suspended, or the loop busy, since the socket was last polled.
+     */
+    default void readArrivedInput(Channel channel) {}
+
     /** Returns the maximum memory of the process, in bytes. */
     long maxMemoryBytes();
 
