Attempts, lists and operators' calls are judged after reading what has arrived

What was seen: a response, a server list or an operator's call that arrived while the loop was held up between polling its sockets and running its timers was dropped: the server was blamed with a timeout and the request tried elsewhere or failed, the list was asked for again after a backoff, the operator got a closed connection.

Change: the timeouts of attempts and probes, the stall check of streamed responses, discovery's request timeout and the operators' listener (request timeout, and its limit) call Transport.readArrivedInput first.

Not changed: the registry's followers, which judge by seconds of silence and only call again.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -298,9 +298,8 @@
             this.listener = listener;
             this.hasDeadline = timeoutMicros > 0;
             this.deadlineNanos = transport.nanos() + 1000 * timeoutMicros;
-            this.timeoutTimer = hasDeadline
-                    ? loop.schedule(() -> end(Outcome.TIMEOUT), timeoutMicros, TimeUnit.MICROSECONDS)
-                    : null;
+            this.timeoutTimer =
+                    hasDeadline ? loop.schedule(this::timedOut, timeoutMicros, TimeUnit.MICROSECONDS) : null;
         }
 
         /** Returns the payload passed to {@link #send}. */
@@ -377,6 +376,7 @@
         private void scheduleStallCheck() {
             loop.schedule(
                     () -> {
+                        readArrivedResponse();
                         if (!ended) {
                             if (responseStream.isOpen()
                                     && !responseStream.isPaused()
@@ -452,6 +452,18 @@
             end(requestSent ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
 
+        private void timedOut() {
+            readArrivedResponse();
+            end(Outcome.TIMEOUT);
+        }
+
+        /** Guards against blaming the server for a response that arrived while the loop was held up. */
+        private void readArrivedResponse() {
+            if (!ended && connection != null) {
+                transport.readArrivedInput(connection.channel);
+            }
+        }
+
         @Override
         public void cancel() {
             end(Outcome.CANCELLED);
--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -78,6 +78,7 @@
 
     private static final int MAX_LIST_BYTES = 4 << 20;
 
+    private final Transport transport;
     private final EventLoop loop;
     private final Config config;
     private final Listener listener;
@@ -100,6 +101,7 @@
 
     /** Creates a follower of the server list that is started by {@link #watch()}. */
     public Discovery(Transport transport, Config config, Listener listener) {
+        this.transport = transport;
         this.loop = transport.loop();
         this.config = config;
         this.address = config.discovery();
@@ -189,7 +191,7 @@
     private void startRequest(int requestNumber) {
         long waitMs = index < 0 ? 0 : WATCH_WAIT_MS;
         timeout = loop.schedule(
-                () -> requestFailed(requestNumber, "no answer"), waitMs + RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                () -> requestTimedOut(requestNumber), waitMs + RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             sendRequest(requestNumber);
             return;
@@ -217,6 +219,14 @@
         });
     }
 
+    private void requestTimedOut(int requestNumber) {
+        if (requestNumber == currentRequest && channel != null) {
+            // Guards against dropping a list that arrived while the loop was held up; it begins another request.
+            transport.readArrivedInput(channel);
+        }
+        requestFailed(requestNumber, "no answer");
+    }
+
     private void requestFailed(int requestNumber, String reason) {
         requestFailed(requestNumber, reason, MAX_BACKOFF_MS);
     }
--- a/src/main/java/gatefront/status/OperatorHttpServer.java
+++ b/src/main/java/gatefront/status/OperatorHttpServer.java
@@ -101,10 +101,10 @@
 
     private void accept(Channel ch) {
         if (openConnections.size() >= maxConnections) {
-            openConnections.iterator().next().close();
+            closeAfterReading(openConnections.iterator().next());
         }
         openConnections.add(ch);
-        var timeout = transport.loop().schedule(() -> ch.close(), requestTimeoutMs, TimeUnit.MILLISECONDS);
+        var timeout = transport.loop().schedule(() -> closeAfterReading(ch), requestTimeoutMs, TimeUnit.MILLISECONDS);
         ch.closeFuture().addListener(closed -> {
             openConnections.remove(ch);
             timeout.cancel(false);
@@ -112,6 +112,12 @@
         ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new RequestHandler());
     }
 
+    /** Closes a connection; a request that arrived while the loop was held up is handled first. */
+    private void closeAfterReading(Channel ch) {
+        transport.readArrivedInput(ch);
+        ch.close();
+    }
+
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private boolean answered;
 
--- /dev/null
+++ b/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
@@ -0,0 +1,68 @@
+package gatefront.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gatefront.budget.ResourceBudget;
+import gatefront.config.Config;
+import gatefront.engine.Payload;
+import gatefront.engine.Upstream;
+import gatefront.membership.Endpoint;
+import gatefront.policy.Balancer;
+import gatefront.transport.HeldLoop;
+import gatefront.transport.SocketTransport;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a server is not blamed for the time in which the event loop was held up. */
+class HeldLoopUpstreamTest {
+    private final SocketTransport transport = new SocketTransport();
+
+    @AfterEach
+    void close() {
+        transport.close(() -> {});
+    }
+
+    /** Guards against counting a timeout against a server whose response arrived while the loop was held up. */
+    @Test
+    void attemptTimeoutReadsAResponseThatHasArrived() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Upstream.Result> result = new CompletableFuture<>();
+            transport
+                    .loop()
+                    .submit(() -> sendRequest((InetSocketAddress) listener.getLocalSocketAddress(), result))
+                    .get();
+            Socket server = listener.accept();
+            server.getInputStream().readNBytes(16);
+            HeldLoop held = HeldLoop.holdBeforeTimers(transport.loop(), 400); // the attempt's timeout of 300 ms passes
+            server.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhecho".getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(50);
+            held.release();
+            assertEquals(Balancer.Outcome.OK, result.get(10, TimeUnit.SECONDS).outcome());
+        }
+    }
+
+    private void sendRequest(InetSocketAddress address, CompletableFuture<Upstream.Result> result) {
+        HttpUpstream upstream = new HttpUpstream(
+                transport,
+                Config.read(Path.of("src/test/resources/config.json")),
+                50,
+                new ResourceBudget(1 << 24, Map.of()));
+        upstream.updateServer(
+                new Endpoint(new Balancer.Server(7, 0, 0, 0, Balancer.Phase.READY, 1, 0), "s-1", address));
+        Payload request = new HttpUpstream.OutgoingRequest(
+                HttpMethod.GET, "/lookup", new DefaultHttpHeaders(), HttpUpstream.NO_BODY);
+        upstream.send(7, request, 300_000, result::complete);
+    }
+}
