The rig holds a process until its reaper knows it, so that no kill leaves one behind

What was seen: ProcessRehearsalTest.killingTheRigKillsItsProcesses failed in whole runs (one of four children still ran 30 s, and minutes, after the rig was killed).

Cause: ProcessAgent told the reaper of a process after ProcessBuilder.start() had returned; a rig killed between the two left it.

Change: ProcessReaper starts processes itself.

--- a/src/main/java/gatefront/rehearsal/Demo.java
+++ b/src/main/java/gatefront/rehearsal/Demo.java
@@ -1,6 +1,7 @@
 package gatefront.rehearsal;
 
 import gatefront.rehearsal.plan.Plan;
+import gatefront.rehearsal.processes.ProcessReaper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -20,6 +21,7 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Path folder;
+    private final ProcessReaper reaper;
     private final RunContext context;
 
     /**
@@ -32,6 +34,7 @@
      */
     public Demo(Plan plan, List<String> command, Consumer<String> log) throws IOException {
         folder = Files.createTempDirectory("gatefront-demo");
+        reaper = ProcessReaper.start();
         EventLoop loop = group.next();
         LoopbackAddresses addresses = LoopbackAddresses.forThisProcess();
         try {
@@ -43,7 +46,7 @@
                                 addresses,
                                 (name, address, zone, memory, lines) -> new LoopbackMachine(name, address, loop),
                                 owner -> i -> new ProcessAgent(
-                                        owner, i, addresses.of(8, i), command, folder, Runnable::run, log));
+                                        owner, i, addresses.of(8, i), command, folder, reaper, Runnable::run, log));
                         created.serveUnknownRequests();
                         created.start();
                         return created;
@@ -73,6 +76,7 @@
     @Override
     public void close() {
         context.agents.forEach(agent -> agent.machine().kill());
+        reaper.close();
         context.loop().submit(context::close).awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         try {
--- a/src/main/java/gatefront/rehearsal/PersistentAgent.java
+++ b/src/main/java/gatefront/rehearsal/PersistentAgent.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.rehearsal.processes.ProcessReaper;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -41,12 +42,13 @@
             InetAddress address,
             List<String> command,
             Path root,
+            ProcessReaper reaper,
             Executor starter,
             Consumer<String> log,
             boolean recoveryEnabled,
             Set<String> disabledGuards,
             Consumer<Process> onProcessStarted) {
-        super(day, number, address, command, root, starter, log);
+        super(day, number, address, command, root, reaper, starter, log);
         this.folder = root.resolve(name());
         this.recoveryEnabled = recoveryEnabled;
         this.disabledGuards = disabledGuards;
--- a/src/main/java/gatefront/rehearsal/ProcessAgent.java
+++ b/src/main/java/gatefront/rehearsal/ProcessAgent.java
@@ -2,6 +2,7 @@
 
 import gatefront.registry.RegistrySettings;
 import gatefront.rehearsal.net.Machine;
+import gatefront.rehearsal.processes.ProcessReaper;
 import gatefront.transport.Transport;
 import io.netty.channel.Channel;
 import java.io.BufferedReader;
@@ -33,6 +34,7 @@
     private final Path configFile;
     private final List<String> command;
     private final Consumer<String> log;
+    private final ProcessReaper reaper;
     private final Executor starter;
     /** The latest process, completed when it has been started; null before the first start. */
     private volatile CompletableFuture<Process> process;
@@ -42,6 +44,7 @@
      *
      * @param command the command that runs an agent
      * @param folder the folder that its configuration is written to
+     * @param reaper starts the processes, and kills them if the rehearsal is killed
      * @param starter the executor that starts processes and sends signals
      * @param log receives the log lines of the process, on the event loop
      */
@@ -51,9 +54,11 @@
             InetAddress address,
             List<String> command,
             Path folder,
+            ProcessReaper reaper,
             Executor starter,
             Consumer<String> log) {
         super(day, number);
+        this.reaper = reaper;
         this.starter = starter;
         this.address = address;
         this.command = command;
@@ -137,7 +142,7 @@
         }
         starter.execute(() -> {
             try {
-                Process started = builder.start();
+                Process started = reaper.start(builder);
                 onStarted(started);
                 starting.complete(started);
                 forwardOutput(started);
--- a/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
@@ -205,6 +205,7 @@
                             addresses.of(8, i),
                             command,
                             root,
+                            reaper,
                             executor,
                             line -> onLogLine(i, line),
                             plan.recoveryEnabled(),
@@ -259,14 +260,12 @@
 
     // ---- Processes ----
 
-    /** Registers a new process with the reaper and waits, on a worker thread, until it is ready. */
+    /** Waits, on a worker thread, until a new process is ready. */
     private void onProcessStarted(int agent, Process process) {
         long pid = process.pid();
-        reaper.watch(pid);
         long startNanos = System.nanoTime();
         startNanosByPid.put(pid, startNanos);
         process.onExit().thenRun(() -> {
-            reaper.unwatch(pid);
             startNanosByPid.remove(pid);
             runOnLoop(() ->
                     recordEvent("exit", "agent-" + (agent + 1), "process " + pid + ", status " + process.exitValue()));
--- a/src/main/java/gatefront/rehearsal/RealRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/RealRehearsal.java
@@ -2,6 +2,7 @@
 
 import gatefront.rehearsal.plan.Plan;
 import gatefront.rehearsal.processes.LoopLateness;
+import gatefront.rehearsal.processes.ProcessReaper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -100,6 +101,7 @@
      */
     public RehearsalResult play(DoubleConsumer progress) throws IOException {
         Path folder = Files.createTempDirectory("gatefront-rehearsal");
+        ProcessReaper reaper = ProcessReaper.start();
         List<AgentStandIn> started = new ArrayList<>();
         RunContext[] created = new RunContext[1];
         try {
@@ -117,6 +119,7 @@
                                 addresses.of(8, i),
                                 agentCommand,
                                 folder,
+                                reaper,
                                 starter,
                                 line -> log(owner, i, line));
                         started.add(agent);
@@ -173,6 +176,7 @@
             throw new IOException("rehearsal interrupted", e);
         } finally {
             started.forEach(agent -> agent.machine().kill());
+            reaper.close();
             if (created[0] != null) {
                 loop.submit(created[0]::close).awaitUninterruptibly();
             }
