A server at the agent's own address is left out of the list

What callers saw: 409 for a request that another server could have served. Seen once in AgentTest.unsafeRequestIsRetriedWhenAServerRefusesTheConnection, whose first server has closed its listener.

Cause: an agent whose list names its own address forwards requests to itself, where the same id is already held and is rejected as a duplicate. The address of a server that has ended may be given to the agent, as the freed port in the test: the agent listens on port 0 there.

Change: OwnAddressFilter marks such a server as gone before the module and the upstreams see the list, and logs it once. The HTTP listener's address is compared; Thrift's own port is not looked at.

Searched for the same pattern: RegistryContract closes a listener and has no agent listening on port 0 beside it; OperatorControlsTest and ThriftAgentFixture take free ports for listeners of their own, which another process may take first; left as they are.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -9,6 +9,7 @@
 import gatefront.http.HttpFrontend;
 import gatefront.http.HttpUpstream;
 import gatefront.membership.Endpoint;
+import gatefront.membership.OwnAddressFilter;
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
 import gatefront.recovery.StallDetector;
@@ -104,6 +105,8 @@
     private UsageRecorder usageRecorder;
     /** State that survives a restart of the process; null if none is stored. */
     private StateRecovery stateRecovery;
+
+    private final OwnAddressFilter ownAddressFilter = new OwnAddressFilter(this::isOwnAddress, this::log);
     /** All frontends, HTTP first. */
     private final List<Frontend> frontends = new ArrayList<>();
 
@@ -511,7 +514,8 @@
     }
 
     /** Receives the merged server list and applies the manual drains to it. */
-    private void onServerList(Balancer.ListKind kind, List<Endpoint> endpoints) {
+    private void onServerList(Balancer.ListKind kind, List<Endpoint> listed) {
+        List<Endpoint> endpoints = ownAddressFilter.apply(listed);
         if (stateRecovery != null) {
             stateRecovery.onServerList(kind, endpoints);
         }
@@ -548,6 +552,10 @@
         }));
     }
 
+    private boolean isOwnAddress(InetSocketAddress address) {
+        return address.equals(listening ? address() : config.listen());
+    }
+
     private boolean usesPadron() {
         return membershipSources == null || membershipSources.usesPadron();
     }
--- a/src/test/java/gatefront/agent/AgentTest.java
+++ b/src/test/java/gatefront/agent/AgentTest.java
@@ -246,6 +246,20 @@
         assertEquals(6, fixture.requestsReceived());
     }
 
+    /** Guards against an agent that forwards requests to itself, where they fail as duplicates with 409. */
+    @Test
+    void serverWithTheAgentsOwnAddressGetsNoRequest() throws IOException {
+        ScriptedPeer ended = fixture.server(SERVE);
+        ended.listener.close();
+        fixture.config.put("listen", ended.address());
+        fixture.server(SERVE);
+        fixture.start();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, fixture.call("order").status());
+        }
+        assertEquals(6, fixture.requestsReceived());
+    }
+
     @Test
     void requestWithoutAnAvailableServerIsRefusedWithRetryAfter() throws IOException {
         fixture.start();
