rehearse processes signals: a seeded soak of signals in series beside a crowd

Change: SignalSeries (pure) draws SIGHUP, holds of up to 0.13 s, SIGTERM once or more and SIGKILL; SIGHUP comes again as soon as the next process listens. ConnectionCrowd holds idle and half-sent connections, and ones whose request comes after up to 90 ms and is owed an answer; the rig's own lateness is not blamed on the agent. A suspension excuses an answer that is late by its length, and nothing else. Guard arrived-input switches the reading before a close off.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -319,8 +319,11 @@
 
     private static Agent serve(Config config, Extensions extensions, Path shared, Function<Engine, Balancer> module)
             throws IOException {
-        SocketTransport transport = new SocketTransport(
-                extensions.recovery() == null ? 0 : extensions.recovery().clockOffsetMicros());
+        SocketTransport transport = extensions.recovery() == null
+                ? new SocketTransport()
+                : new SocketTransport(
+                        extensions.recovery().clockOffsetMicros(),
+                        extensions.recovery().isEnabled(RecoverySettings.Guard.ARRIVED_INPUT));
         ProcessHandover handover = shared == null || config.management() == null
                 ? null
                 : new ProcessHandover(
--- a/src/main/java/gatefront/agent/RecoverySettings.java
+++ b/src/main/java/gatefront/agent/RecoverySettings.java
@@ -39,7 +39,9 @@
         /** The loss of stored manual drains is reported. */
         NAMED_LOSS,
         /** After a stall, requests are held until the server list is refreshed. */
-        WAKING;
+        WAKING,
+        /** What has arrived on a connection is read before its peer is judged by its silence. */
+        ARRIVED_INPUT;
 
         /** Returns the name used in the settings. */
         String label() {
@@ -77,4 +79,9 @@
                 Set.copyOf(disabledGuards),
                 (long) (1e6 * rehearsal.number("clock_s", 0.0, -30 * DAY_SECONDS, 30 * DAY_SECONDS)));
     }
+
+    /** Returns whether a guard is in force. */
+    boolean isEnabled(Guard guard) {
+        return !disabledGuards.contains(guard);
+    }
 }
--- a/src/main/java/gatefront/cli/ProcessesCommand.java
+++ b/src/main/java/gatefront/cli/ProcessesCommand.java
@@ -30,7 +30,7 @@
         description = {
             "Play a plan with agents in separate processes on loopback, "
                     + "with faults of processes, folders and links.",
-            "Built-in plans: restart-most, state-lost, stopped-and-woken, crash-loop.",
+            "Built-in plans: restart-most, state-lost, stopped-and-woken, crash-loop, signals.",
             "Exit status: 0 all rules kept, 3 a rule broken, 2 invalid usage, 1 unusable plan."
         })
 final class ProcessesCommand implements Callable<Integer> {
@@ -69,8 +69,8 @@
             names = "--without",
             paramLabel = "GUARD",
             split = ",",
-            description =
-                    "Disable safeguards of the agent: kept-bans, named-loss, waking. The rules must then report it.")
+            description = "Disable safeguards of the agent: kept-bans, named-loss, waking, arrived-input. "
+                    + "The rules must then report it.")
     private Set<String> without = new HashSet<>();
 
     @Option(
--- a/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
+++ b/src/main/java/gatefront/rehearsal/ProcessRehearsal.java
@@ -1,6 +1,8 @@
 package gatefront.rehearsal;
 
 import gatefront.rehearsal.check.ManualDrainChecker;
+import gatefront.rehearsal.plan.Plan;
+import gatefront.rehearsal.processes.ConnectionCrowd;
 import gatefront.rehearsal.processes.EventHistory;
 import gatefront.rehearsal.processes.FolderFaults;
 import gatefront.rehearsal.processes.LinkConditions;
@@ -9,6 +11,7 @@
 import gatefront.rehearsal.processes.ProcessFault.Links;
 import gatefront.rehearsal.processes.ProcessPlan;
 import gatefront.rehearsal.processes.ProcessReaper;
+import gatefront.rehearsal.processes.SignalSeries;
 import gatefront.rehearsal.processes.StartTimeline;
 import gatefront.rehearsal.world.RandomStream;
 import io.netty.channel.EventLoop;
@@ -19,6 +22,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -30,6 +34,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.DoubleConsumer;
 import java.util.stream.IntStream;
 
@@ -82,6 +87,10 @@
     private final List<String> log = new ArrayList<>();
     private final StartTimeline timeline = new StartTimeline();
     private int readyCount;
+    /** Agents whose next process is sent SIGHUP as soon as it listens, before it has its first server list. */
+    private final Set<Integer> reloadedWhenListening = new HashSet<>();
+
+    private final List<ConnectionCrowd> crowds = new ArrayList<>();
     private final List<PersistentAgent> agents = new ArrayList<>();
     private EventHistory history;
     private RelayNetwork network;
@@ -228,6 +237,7 @@
         reaper.close();
         if (context != null) {
             loop.submit(() -> {
+                        crowds.forEach(ConnectionCrowd::close);
                         context.close();
                         network.close();
                     })
@@ -247,6 +257,10 @@
     private void onLogLine(int agent, String line) {
         if (line.startsWith("listening on ")) {
             timeline.reached(agent, StartTimeline.Mark.LISTENS, context.now());
+            if (reloadedWhenListening.remove(agent)) {
+                recordEvent("fault", "agent-" + (agent + 1), "SIGHUP before its first list");
+                agents.get(agent).reload();
+            }
         }
         history.event(context.now(), "log", "agent-" + (agent + 1), line);
         if (log.size() < MAX_LOG_LINES) {
@@ -414,11 +428,82 @@
                     fault, agent, duration, new LinkConditions(false, 0, (long) (1000 * size)));
             case RESET, HALF_OPEN -> network.breakConnections(
                     agent.number, fault.links(), fault.kind() == ProcessFault.Kind.HALF_OPEN);
+            case SIGNALS -> sendSignals(agent, duration, bitSelector);
+            case CROWD -> openCrowd(agent, duration, (int) size, bitSelector);
             case OUT, BACK -> fault.nodos()
                     .forEach(nodo -> sendDrainCommand(agent, nodo, fault.kind() == ProcessFault.Kind.OUT));
         }
     }
 
+    /** Sends a series of signals to the process of an agent, and starts it again after its exit. */
+    private void sendSignals(PersistentAgent agent, long restartDelay, long seriesSeed) {
+        int processNumber = agent.processCount();
+        AtomicBoolean terminating = new AtomicBoolean();
+        agent.withProcess(process -> process.onExit()
+                .thenRun(() -> runOnLoop(() -> signalledProcessEnded(agent, process, terminating, restartDelay))));
+        long start = context.now();
+        for (SignalSeries.Step step : SignalSeries.draw(new RandomStream(seriesSeed, "signals"), longestDeadline())) {
+            context.schedule(start + step.atMicros(), () -> {
+                if (agent.processCount() == processNumber && agent.machine().running() && !finished) {
+                    recordEvent("fault", agent.name(), step.toString());
+                    terminating.compareAndSet(false, step.signal() == SignalSeries.Signal.TERMINATE);
+                    send(agent, step);
+                }
+            });
+        }
+    }
+
+    private long longestDeadline() {
+        return (long) (1000
+                * plan.basePlan().classes().stream()
+                        .mapToDouble(Plan.RequestClass::timeoutMs)
+                        .max()
+                        .orElseThrow());
+    }
+
+    private void send(PersistentAgent agent, SignalSeries.Step step) {
+        switch (step.signal()) {
+            case RELOAD -> agent.reload();
+            case TERMINATE -> agent.signal("TERM");
+            case KILL -> agent.signal("KILL");
+            case SUSPEND -> {
+                long from = context.now();
+                agent.signal("STOP");
+                context.schedule(from + step.durationMicros(), () -> {
+                    agent.signal("CONT");
+                    network.recordSuspension(from, context.now());
+                });
+            }
+        }
+    }
+
+    private void signalledProcessEnded(
+            PersistentAgent agent, Process process, AtomicBoolean terminating, long restartDelay) {
+        if (!terminating.get()) {
+            context.checker.reportLeftover(
+                    context.now(),
+                    agent.name() + " ended with status " + process.exitValue() + " before it was told to");
+        }
+        context.padron.agentReset(agent.number);
+        drainChecker.processEnded(context.now(), agent.number);
+        reloadedWhenListening.add(agent.number);
+        restartAfter(agent, restartDelay);
+    }
+
+    private void openCrowd(PersistentAgent agent, long duration, int connections, long crowdSeed) {
+        ConnectionCrowd crowd = new ConnectionCrowd(
+                loop,
+                agent.address(),
+                new RandomStream(crowdSeed, "crowd"),
+                lateness,
+                seen -> context.checker.responseMissing(context.now(), agent.name() + ": " + seen));
+        crowds.add(crowd);
+        crowd.open(connections);
+        context.schedule(
+                context.now() + duration,
+                () -> recordEvent("crowd", agent.name(), "leaves, " + crowd.close() + " requests answered"));
+    }
+
     private void applyLinkConditions(
             ProcessFault fault, PersistentAgent agent, long duration, LinkConditions conditions) {
         network.setConditions(agent.number, fault.links(), fault.direction(), conditions);
--- a/src/main/java/gatefront/rehearsal/RealTimeRig.java
+++ b/src/main/java/gatefront/rehearsal/RealTimeRig.java
@@ -14,7 +14,7 @@
     }
 
     @Override
-    public final long maxStallMicros(long from, long until) {
+    public long maxStallMicros(long from, long until) {
         return lateness.maxBetween(context.toClockMicros(from), context.toClockMicros(until));
     }
 
--- a/src/main/java/gatefront/rehearsal/RelayNetwork.java
+++ b/src/main/java/gatefront/rehearsal/RelayNetwork.java
@@ -63,6 +63,9 @@
     /** The latest stop of each agent's process. */
     private final Map<Integer, Interval> pauses = new HashMap<>();
 
+    /** Short suspensions of agents, within what the platform allows; the number is that of the plan's signals. */
+    private final List<Interval> suspensions = new ArrayList<>();
+
     /** The latest fault of each agent's links by kind. */
     private final Map<String, Interval> disruptions = new HashMap<>();
 
@@ -174,6 +177,27 @@
         }
     }
 
+    /**
+     * Records a short suspension of an agent. Responses may be late by its length, and nothing else is excused.
+     */
+    void recordSuspension(long from, long until) {
+        Interval interval = new Interval();
+        interval.start(from);
+        interval.end(until);
+        suspensions.add(interval);
+    }
+
+    @Override
+    public long maxStallMicros(long from, long until) {
+        long longest = super.maxStallMicros(from, until);
+        for (Interval suspension : suspensions) {
+            if (suspension.overlaps(from, until)) {
+                longest = Math.max(longest, suspension.until - suspension.from);
+            }
+        }
+        return longest;
+    }
+
     void close() {
         relays.values().forEach(Relay::close);
     }
--- a/src/main/java/gatefront/rehearsal/check/RuleChecker.java
+++ b/src/main/java/gatefront/rehearsal/check/RuleChecker.java
@@ -311,6 +311,11 @@
         }
     }
 
+    /** Records that a response due to a client outside the plan's traffic did not come. */
+    public void responseMissing(long now, String description) {
+        breach(now, Rule.ONE_ANSWER, null, description);
+    }
+
     // ---- Events at nodos ----
 
     /**
--- a/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
+++ b/src/main/java/gatefront/rehearsal/processes/ProcessFault.java
@@ -19,7 +19,8 @@
  * @param copiedAtSecond for {@link State#OLDER}: when the copy is taken, in seconds since traffic started
  * @param links the affected links, for faults of links
  * @param direction the affected directions of those links
- * @param size milliseconds of delay, kilobytes per second or number of kills, depending on the kind
+ * @param size milliseconds of delay, kilobytes per second, number of kills or number of connections, depending on the
+ *     kind
  * @param nodos the servers that an operator command names
  */
 public record ProcessFault(
@@ -60,7 +61,11 @@
         /** An operator drains servers at agents. */
         OUT,
         /** An operator puts drained servers back. */
-        BACK;
+        BACK,
+        /** A {@link SignalSeries}; the process is started again after its exit plus the duration. */
+        SIGNALS,
+        /** A {@link ConnectionCrowd} of the size, for the duration. */
+        CROWD;
 
         /** Returns the name of the kind in plan files. */
         public String keyword() {
@@ -79,7 +84,7 @@
 
         /** Returns whether the plan has to give a size. */
         public boolean needsSize() {
-            return this == DELAY || this == THROTTLE || this == CRASH_LOOP;
+            return this == DELAY || this == THROTTLE || this == CRASH_LOOP || this == CROWD;
         }
     }
 
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -22,15 +22,22 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final long clockOffsetMicros;
+    private final boolean readsArrivedInput;
 
     /** Creates a transport that uses the system's wall clock. */
     public SocketTransport() {
-        this(0);
+        this(0, true);
     }
 
-    /** Creates a transport whose wall clock is offset by this many microseconds, for rehearsals of clock skew. */
-    public SocketTransport(long clockOffsetMicros) {
+    /**
+     * Creates a transport for rehearsals.
+     *
+     * @param clockOffsetMicros offset of the wall clock, in microseconds
+     * @param readsArrivedInput whether {@link #readArrivedInput} has an effect
+     */
+    public SocketTransport(long clockOffsetMicros, boolean readsArrivedInput) {
         this.clockOffsetMicros = clockOffsetMicros;
+        this.readsArrivedInput = readsArrivedInput;
     }
 
     @Override
@@ -73,7 +80,8 @@
 
     @Override
     public void readArrivedInput(Channel channel) {
-        if (channel.isActive()
+        if (readsArrivedInput
+                && channel.isActive()
                 && channel.config().isAutoRead()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
             socket.read();
--- a/src/test/java/gatefront/rehearsal/ProcessRehearsalTest.java
+++ b/src/test/java/gatefront/rehearsal/ProcessRehearsalTest.java
@@ -11,9 +11,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests rehearsals with agents in processes of their own and faults of processes, folders and links. Whether responses
@@ -23,6 +26,7 @@
 @Timeout(120)
 class ProcessRehearsalTest {
     private static final int AGENTS = 14;
+    private static final int SOAK_AGENTS = 6;
 
     @TempDir
     private Path dir;
@@ -77,6 +81,47 @@
         assertNotEquals(0, breaches(play("stopped-and-woken", 14, "waking"), Rule.DRAINS_KEPT));
     }
 
+    private ProcessRehearsalResult playSignals(long seed) throws Exception {
+        return new ProcessRehearsal(
+                        ProcessPlanReader.builtIn("signals", SOAK_AGENTS),
+                        seed,
+                        RealRehearsal.currentJvmCommand(),
+                        Set.of(),
+                        dir.resolve("history.jsonl"))
+                .play(done -> {});
+    }
+
+    private static String soakCommand(long seed) {
+        return "rehearse processes signals --agents " + SOAK_AGENTS + " --seed " + seed;
+    }
+
+    /**
+     * A short soak, with restarts by signals in series, some beside a crowd that takes all connections. Guards against
+     * requests that were closed unread, effects twice, requests to drained servers and agents that end by themselves.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3})
+    void signalsInSeriesCloseNoRequestUnread(long seed) throws Exception {
+        List<String> breaches = playSignals(seed).breaches().stream()
+                .filter(breach -> !breach.startsWith("one answer: no final answer in its time")
+                        && !breach.startsWith("one answer: the final answer came"))
+                .toList();
+        assertEquals(List.of(), breaches, soakCommand(seed));
+        String history = Files.readString(dir.resolve("history.jsonl"));
+        for (String part :
+                List.of("signal=SUSPEND", "signal=TERMINATE", "before its first list", "requests answered")) {
+            assertTrue(history.contains(part), part);
+        }
+    }
+
+    /** The same soak with all rules. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3})
+    void signalsInSeriesKeepAllRules(long seed) throws Exception {
+        assertEquals(List.of(), playSignals(seed).breaches(), soakCommand(seed));
+    }
+
     @Test
     void killingTheRigKillsItsProcesses() throws Exception {
         Process rig = new ProcessBuilder(
--- a/src/test/java/gatefront/rehearsal/processes/ProcessPartsTest.java
+++ b/src/test/java/gatefront/rehearsal/processes/ProcessPartsTest.java
@@ -146,7 +146,7 @@
                 errorOf("kind = \"term\"\nat_s = 1\nstate = \"wiped\"\n"));
         assertEquals(
                 "p:4: faults.0.kind: \"kil\" is none of kill, term, stop, crash-loop, cut, delay, throttle, "
-                        + "reset, half-open, out, back; did you mean \"kill\"?",
+                        + "reset, half-open, out, back, signals, crowd; did you mean \"kill\"?",
                 errorOf("kind = \"kil\"\nat_s = 1\n"));
         assertTrue(errorOf("kind = \"out\"\nat_s = 1\n").contains("names the nodos that are drained"));
         assertTrue(errorOf("kind = \"kill\"\nat_s = 1\nnodos = [\"nodo-1\"]\n").contains("does not apply to kill"));
