Trace of requests and connections; a late poll of the sockets is logged

EventTrace, on with GATEFRONT_TRACE in the environment, logs each step of a request and each connection with the reason for its close. PollTimes records when the event loop polled its sockets; a poll that is 0.15 s late or more is logged always, with its lateness. Off by default; nothing is formatted for a request then. Seen with the loop held for 0.3 s in a test: 'event loop: sockets were polled 0.300 s late'.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -273,6 +273,11 @@
         budget.setCaps(caps);
     }
 
+    /** Returns the event loop that runs the agent. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Returns the accounts of held resources by purpose; to be called on the event loop. */
     public ResourceBudget budget() {
         return budget;
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -180,19 +180,19 @@
     @Override
     public void drain() {
         closeAfterResponse = true;
-        closeSilent(List.copyOf(connectionsByState.get(State.NEW)));
-        closeSilent(List.copyOf(connectionsByState.get(State.KEEP_ALIVE)));
+        closeSilent(List.copyOf(connectionsByState.get(State.NEW)), "draining");
+        closeSilent(List.copyOf(connectionsByState.get(State.KEEP_ALIVE)), "draining");
     }
 
     @Override
     public void stopListening() {
         transport.closeSharedListener(serverChannel);
         drain();
-        closeSilent(List.copyOf(connectionsByState.get(State.READING_REQUEST)));
+        closeSilent(List.copyOf(connectionsByState.get(State.READING_REQUEST)), "the listener is closed");
     }
 
-    private void closeSilent(List<Connection> candidates) {
-        candidates.forEach(Connection::closeIfSilent);
+    private void closeSilent(List<Connection> candidates, String reason) {
+        candidates.forEach(connection -> connection.closeIfSilent(reason));
     }
 
     @Override
@@ -249,7 +249,7 @@
             if (oldest == null) {
                 break;
             }
-            if (oldest.closeIfSilent() && connectionAccount.isFull()) {
+            if (oldest.closeIfSilent("evicted to admit another") && connectionAccount.isFull()) {
                 break; // it leaves the account once its output is flushed; the next sweep sees that
             }
         }
@@ -286,15 +286,17 @@
      * Closes connections whose timeout has passed. Guards against descriptors and memory held for unresponsive clients.
      */
     private void sweep() {
-        closeSilent(expired(State.NEW, FIRST_BYTE_TIMEOUT_NANOS));
-        closeSilent(expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS));
+        closeSilent(expired(State.NEW, FIRST_BYTE_TIMEOUT_NANOS), "first-byte timeout");
+        closeSilent(
+                expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS),
+                "keep-alive timeout");
         expired(State.READING_REQUEST, READ_TIMEOUT_NANOS).forEach(Connection::timeOutIfSilent);
         expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS).stream()
                 .filter(connection -> !connection.channel.isWritable())
-                .forEach(connection -> connection.channel.close());
+                .forEach(connection -> connection.close("the client reads nothing of a streamed response"));
         expired(State.WRITING_LAST_RESPONSE, LAST_WRITE_TIMEOUT_NANOS)
-                .forEach(connection -> connection.channel.close());
-        expired(State.LINGERING, LINGER_NANOS).forEach(connection -> connection.channel.close());
+                .forEach(connection -> connection.close("timeout of writing the last response"));
+        expired(State.LINGERING, LINGER_NANOS).forEach(connection -> connection.close("the client has lingered"));
         enforceConnectionLimit();
     }
 
@@ -323,6 +325,8 @@
         private long stateSinceActiveNanos;
         /** Bytes that the bodies of its requests hold in memory. */
         private int heldBytes;
+        /** Why the agent closes the connection, or null if it does not. */
+        private String closeReason;
 
         /** Creates a connection on {@code channel}. */
         protected Connection(DuplexChannel channel) {
@@ -375,8 +379,21 @@
             return channel.writeAndFlush(message).addListener(done -> responseAccount.release(bytes));
         }
 
+        /** Closes the connection at once, for a reason that is traced. */
+        protected final void close(String reason) {
+            closeReason = reason;
+            channel.close();
+        }
+
+        private void traceEvent(String event) {
+            if (transport.trace().isEnabled()) {
+                transport.trace().connection("client", channel, event);
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            traceEvent("accepted");
             connections.add(this);
             connectionAccount.add(1, 0);
             transitionTo(State.NEW);
@@ -385,6 +402,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            traceEvent("closed in state " + state + ": " + (closeReason == null ? "by the client" : closeReason));
             connections.remove(this);
             connectionAccount.release(0);
             transitionTo(null);
@@ -396,7 +414,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // the connection is broken; channelInactive cancels its request
+            close("broken, " + cause); // channelInactive cancels its request
         }
 
         /**
@@ -407,6 +425,7 @@
          */
         protected final void closeAfterWrite(ChannelFuture written, boolean hasUnreadInput) {
             ignoresInput = true;
+            closeReason = closeReason == null ? "after the last response" : closeReason;
             transitionTo(State.WRITING_LAST_RESPONSE);
             // Guards against a reset because of unread input, which would overtake the response.
             written.addListener(hasUnreadInput ? done -> linger() : ChannelFutureListener.CLOSE);
@@ -425,11 +444,13 @@
          * Closes the connection unless input has arrived that changes its state, as a request sent while the loop was
          * held up does: closing would lose it.
          *
+         * @param reason why it is closed, for the trace
          * @return whether the connection was closed
          */
-        private boolean closeIfSilent() {
+        private boolean closeIfSilent(String reason) {
             boolean silent = isSilent();
             if (silent) {
+                closeReason = reason;
                 closeAfterWrite(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), false);
             }
             return silent;
@@ -442,7 +463,7 @@
             }
             onReadTimeout();
             if (state == State.READING_REQUEST) {
-                channel.close(); // no error could be sent, as the client does not read either
+                close("read timeout"); // no error could be sent, as the client does not read either
             }
         }
 
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -260,6 +260,12 @@
         return usable;
     }
 
+    private void traceConnection(Channel channel, String event) {
+        if (transport.trace().isEnabled()) {
+            transport.trace().connection("server", channel, event);
+        }
+    }
+
     // ---- Attempts ----
 
     @Override
@@ -346,6 +352,7 @@
                 } else if (done.isSuccess()) {
                     write(newConnection);
                 } else {
+                    traceConnection(connectingChannel, "connect failed, " + done.cause());
                     end(Outcome.CONNECT_FAILED);
                 }
             });
@@ -558,7 +565,8 @@
         protected final void channelRead0(ChannelHandlerContext ctx, Object message) {
             Attempt attempt = connection.attempt;
             if (attempt == null) {
-                ctx.close(); // no attempt is outstanding
+                traceConnection(ctx.channel(), "input without an attempt");
+                ctx.close();
             } else if (!attempt.requestSent || !read(attempt, message)) {
                 // A response that arrives before the whole request was sent cannot belong to it.
                 attempt.connectionLost();
@@ -608,6 +616,7 @@
 
         @Override
         public final void channelInactive(ChannelHandlerContext ctx) {
+            traceConnection(ctx.channel(), connection.attempt == null ? "closed" : "closed during an attempt");
             release();
             connection.pool.idle.remove(connection);
             if (connection.attempt != null) {
@@ -618,6 +627,7 @@
         @Override
         public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             connectionReset = true;
+            traceConnection(ctx.channel(), "broken, " + cause);
             ctx.close(); // channelInactive decides what the reset means for the attempt
         }
     }
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -311,6 +311,7 @@
      */
     private void failPending(Pending pending, Exchange.Failure reason) {
         if (!pending.answered) {
+            traceEvent(pending.request, "failed: " + reason);
             logLine("request given up: " + reason);
             pending.exchange.failed(reason);
             counters.recordError(pending.request.requestClass());
@@ -385,6 +386,7 @@
         // Guards against running a request twice, and against one request getting the other's response: a second
         // request with the same id is not sent, whatever client and protocol it came from, and the first continues.
         if (pendingByClientId.containsKey(request.id())) {
+            traceEvent(request, "rejected: another request with this id is in progress");
             exchange.failed(Exchange.Failure.DUPLICATE);
             counters.recordError(request.requestClass());
             return;
@@ -394,10 +396,15 @@
                 || budget.account(ResourcePurpose.ANSWERS).isFull()
                 || !admit(request.requestClass())
                 || !requestAccount.tryAcquire(0)) {
+            traceEvent(request, "refused: a limit of the agent is reached");
             exchange.refused(RETRY_AFTER_MICROS);
             counters.recordShed(request.requestClass());
             return;
         }
+        if (isTracing()) {
+            traceEvent(
+                    request, "received, class " + request.requestClass() + ", timeout " + request.timeoutMs() + " ms");
+        }
         classLimits.requestStarted(request.requestClass());
         counters.recordStarted();
         long id = nextId++;
@@ -446,6 +453,7 @@
     private void abandonRequest(Exchange exchange) {
         Pending pending = pendingByExchange.get(exchange);
         if (pending != null && !pending.answered) {
+            traceEvent(pending.request, "abandoned: the client has left");
             counters.recordError(pending.request.requestClass());
             markAnswered(pending);
             dispatch(() -> balancer.clientLeft(now(), pending.id));
@@ -460,6 +468,12 @@
 
     private void attemptEnded(Pending pending, int attempt, long server, long elapsedMicros, Upstream.Result result) {
         pending.outstandingAttempts--;
+        if (isTracing()) {
+            traceEvent(
+                    pending.request,
+                    "attempt " + attempt + " ended " + result.outcome() + " after " + elapsedMicros + " us"
+                            + (pending.answered ? ", the request had ended" : ""));
+        }
         // Guards against retrying on every server a request that one has found invalid, and against blaming that
         // server.
         boolean requestRejected = result.rejection() != null;
@@ -538,6 +552,12 @@
         }
         int attempt = pending.attempts.size();
         long sentAt = now();
+        if (isTracing()) {
+            traceEvent(
+                    pending.request,
+                    "attempt " + attempt + " to server " + serverNames.get(server) + ", timeout " + timeoutMicros
+                            + " us");
+        }
         pending.outstandingAttempts++;
         pending.attempts.add(
                 pending.upstream.send(server, pending.request.payload(), timeoutMicros, new Upstream.Listener() {
@@ -557,6 +577,9 @@
                     @Override
                     public void onRequestSent() {
                         counters.recordAttempt();
+                        if (isTracing()) {
+                            traceEvent(pending.request, "attempt " + attempt + " written");
+                        }
                         if (pending.request.payload().bodyStream() != null && !pending.answered) {
                             startDeadlineTimer(pending); // both the timeout and the latency count from the last byte
                             latencyStartMicros = now();
@@ -600,6 +623,7 @@
     public void refuse(long request, long retryAfterMicros) {
         Pending pending = pendingById.get(request);
         if (pending != null && !pending.answered) {
+            traceEvent(pending.request, "refused by the decision module, retry after " + retryAfterMicros + " us");
             pending.exchange.refused(retryAfterMicros > 0 ? retryAfterMicros : RETRY_AFTER_MICROS);
             counters.recordShed(pending.request.requestClass());
             markAnswered(pending);
@@ -610,6 +634,7 @@
     public void fail(long request) {
         Pending pending = pendingById.get(request);
         if (pending != null && !pending.answered) {
+            traceEvent(pending.request, "failed by the decision module");
             pending.exchange.failed(Exchange.Failure.NOT_SERVED);
             counters.recordError(pending.request.requestClass());
             markAnswered(pending);
@@ -666,6 +691,14 @@
                         match -> Matcher.quoteReplacement("server " + serverNames.get(Long.valueOf(match.group(1))))));
     }
 
+    private boolean isTracing() {
+        return transport.trace().isEnabled();
+    }
+
+    private void traceEvent(ClientRequest request, String event) {
+        transport.trace().request(request.id(), event);
+    }
+
     private void logLine(String line) {
         transport.log(line);
     }
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -244,7 +244,7 @@
                 @Override
                 public void onAbort() {
                     responseStream = null;
-                    connection.closeNow();
+                    connection.closeAfterAbort();
                 }
             });
         }
@@ -319,8 +319,8 @@
             transitionTo(State.STREAMING_RESPONSE);
         }
 
-        private void closeNow() {
-            channel.close();
+        private void closeAfterAbort() {
+            close("the streamed response was aborted");
         }
 
         @Override
@@ -458,7 +458,8 @@
             BodyStream stream = upload;
             Exchange exchange = current;
             if (exchange == null || pipelined.stream().anyMatch(queued -> queued.request != null)) {
-                channel.close(); // earlier responses are due first, and the error must not overtake them
+                // Earlier responses are due first, and the error must not overtake them.
+                close("the streamed request is aborted, " + status);
                 return;
             }
             exchange.respond(
@@ -481,7 +482,7 @@
                                     return;
                                 }
                                 if (uploadedBytes == uploadedBefore && !stream.isPaused()) {
-                                    channel.close();
+                                    close("the streamed request has stalled");
                                 } else {
                                     scheduleUploadStallCheck(stream, uploadedBytes);
                                 }
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -15,12 +15,22 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** Transport over NIO sockets and the system clocks, with its own event loop thread. */
 public final class SocketTransport implements Transport {
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    /** Environment variable that turns the trace of requests and connections on. */
+    private static final String TRACE_VARIABLE = "GATEFRONT_TRACE";
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final PollTimes pollTimes = new PollTimes(this::reportLatePoll);
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, pollTimes.recording(NioIoHandler.newFactory()));
     private final EventLoop loop = group.next();
+    private final EventTrace trace =
+            System.getenv(TRACE_VARIABLE) == null ? EventTrace.OFF : EventTrace.to(this::nanos, this::log);
     private final long clockOffsetMicros;
     private final boolean readsArrivedInput;
 
@@ -98,6 +108,16 @@
         System.err.println(line);
     }
 
+    @Override
+    public EventTrace trace() {
+        return trace;
+    }
+
+    private void reportLatePoll(long latenessNanos) {
+        log(String.format(
+                Locale.ROOT, "event loop: sockets were polled %.3f s late", latenessNanos / NANOS_PER_SECOND));
+    }
+
     @Override
     public void close(Runnable onClosed) {
         group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> onClosed.run());
--- a/src/main/java/gatefront/transport/Transport.java
+++ b/src/main/java/gatefront/transport/Transport.java
@@ -56,6 +56,11 @@
     /** Returns the maximum memory of the process, in bytes. */
     long maxMemoryBytes();
 
+    /** Returns the trace of requests and connections, which is off by default. */
+    default EventTrace trace() {
+        return EventTrace.OFF;
+    }
+
     /** Writes one line to the log of the process. */
     void log(String line);
 
