Failing tests: requests forwarded after their clients have closed the connection

Real processes: 'rehearse processes held-agents' suspends agents for 0.36 to 0.39 s, just under what the check for a stalled process lets pass, with callers that leave early. The checker has a new rule, no attempt over 0.1 s after the caller's close. The agents' trace shows the fault's course: 'received', 'attempt 0 to server nodo-3' and 'attempt 0 written' within 0.8 ms, 'abandoned: the client has left' 4 ms later. PollTimes counted the lateness from the wrong origin and named no hold of an idle loop; it does now ('sockets were polled 0.488 s late' after 0.5 s of SIGSTOP).

--- a/src/main/java/gatefront/rehearsal/ClientStandIn.java
+++ b/src/main/java/gatefront/rehearsal/ClientStandIn.java
@@ -242,6 +242,7 @@
             if (requestTry.connection != null && requestTry.connection.channel != null) {
                 requestTry.connection.currentTry = null;
                 requestTry.connection.channel.close();
+                context.checker.clientLeft(context.now(), requestTry.requestId);
             }
             endTry(requestTry, RetryBehavior.TryOutcome.TIMED_OUT, 0);
         }
--- a/src/main/java/gatefront/rehearsal/RelayNetwork.java
+++ b/src/main/java/gatefront/rehearsal/RelayNetwork.java
@@ -198,6 +198,13 @@
         return longest;
     }
 
+    @Override
+    public long maxCloseDelayMicros(int agent, long from, long until) {
+        Interval disruption = disruptions.get(key(agent, Links.CALLERS));
+        boolean heldBack = disruption != null && disruption.overlaps(from, until + CATCH_UP_MICROS);
+        return heldBack ? until - from : super.maxStallMicros(from, until);
+    }
+
     void close() {
         relays.values().forEach(Relay::close);
     }
--- a/src/main/java/gatefront/rehearsal/check/RuleChecker.java
+++ b/src/main/java/gatefront/rehearsal/check/RuleChecker.java
@@ -25,6 +25,8 @@
 public final class RuleChecker {
     /** Time for which a request is retained after its last event, in microseconds. */
     static final long RETENTION_MICROS = 30_000_000;
+    /** Time after the close of a client's connection within which an attempt may still begin, in microseconds. */
+    private static final long CLOSE_GRACE_MICROS = 100_000;
     /** Maximum number of breaches kept with their history; further breaches are only counted. */
     static final int MAX_KEPT_BREACHES = 100;
 
@@ -47,6 +49,8 @@
         ONE_ANSWER,
         /** No request takes effect twice. */
         NO_EFFECT_TWICE,
+        /** No attempt begins for a client that has closed its connection. */
+        NO_ATTEMPT_AFTER_CLOSE,
         /** Nothing new is sent to a draining nodo. */
         DRAINS_KEPT,
         /** No cold nodo is overloaded. */
@@ -106,6 +110,9 @@
         final List<Event> history = new ArrayList<>(4);
         final Set<String> responseBodies = new HashSet<>(2);
         long answeredMicros = -1;
+        /** When the client closed its connection without a response, or -1. */
+        long clientLeftMicros = -1;
+
         boolean settled;
         int effects;
         long lastEventMicros;
@@ -126,6 +133,14 @@
         /** Returns the longest time for which the rehearsal itself stalled between two times, in microseconds. */
         long maxStallMicros(long from, long until);
 
+        /**
+         * Returns the longest time between two times for which the close of a client's connection may have been held
+         * back on its way to the agent, in microseconds. A suspension of the agent itself does not count.
+         */
+        default long maxCloseDelayMicros(int agent, long from, long until) {
+            return maxStallMicros(from, until);
+        }
+
         /** Called for each event of a request. */
         void requestEvent(long at, String request, String description);
 
@@ -300,6 +315,15 @@
         }
     }
 
+    /** Records that the client has closed its connection without waiting for the response any longer. */
+    public void clientLeft(long now, String id) {
+        RequestState request = requests.get(id);
+        if (request != null && request.clientLeftMicros < 0) {
+            request.clientLeftMicros = now;
+            addEvent(now, request, "the caller closed its connection");
+        }
+    }
+
     /** Records that the client's deadline plus the slack has passed without a response. */
     public void timedOut(long now, String id) {
         RequestState request = requests.get(id);
@@ -348,6 +372,7 @@
         if (request.answeredMicros >= 0 && isLate(request.answeredMicros, now)) {
             breach(now, Rule.ONE_ANSWER, request, "sent to a nodo after the final answer");
         }
+        checkClientPresent(now, request);
         if (request.requestClass.semantics != Semantics.SAFE) {
             for (Attempt earlier : request.attempts) {
                 if (mayHaveRun(earlier, now) && !permitted(request, earlier, zone, cell, now)) {
@@ -364,6 +389,22 @@
         return request.attempts.size() - 1;
     }
 
+    private void checkClientPresent(long now, RequestState request) {
+        long latestStart = request.clientLeftMicros + CLOSE_GRACE_MICROS + limits.slackMicros;
+        if (request.clientLeftMicros >= 0
+                && now > latestStart
+                && now > latestStart + environment.maxCloseDelayMicros(request.agent, request.clientLeftMicros, now)) {
+            breach(
+                    now,
+                    Rule.NO_ATTEMPT_AFTER_CLOSE,
+                    request,
+                    String.format(
+                            Locale.ROOT,
+                            "sent to a nodo %.3f s after its caller closed the connection",
+                            (now - request.clientLeftMicros) / 1e6));
+        }
+    }
+
     private boolean permitted(RequestState request, Attempt earlier, int zone, int cell, long now) {
         if (request.requestClass.semantics != Semantics.KEYED
                 || now > earlier.startedMicros + request.requestClass.windowMicros + limits.slackMicros) {
--- a/src/main/java/gatefront/rehearsal/processes/ProcessPlanReader.java
+++ b/src/main/java/gatefront/rehearsal/processes/ProcessPlanReader.java
@@ -21,7 +21,7 @@
 public final class ProcessPlanReader {
     /** Names of the plans that are packaged in the jar. */
     public static final List<String> BUILT_IN =
-            List.of("restart-most", "state-lost", "stopped-and-woken", "crash-loop", "signals");
+            List.of("restart-most", "state-lost", "stopped-and-woken", "crash-loop", "signals", "held-agents");
     /** Maximum number of agents; each is a process of about 60 MB. */
     public static final int MAX_AGENTS = 200;
 
--- a/src/main/java/gatefront/transport/PollTimes.java
+++ b/src/main/java/gatefront/transport/PollTimes.java
@@ -74,8 +74,9 @@
 
         @Override
         public int run(IoHandlerContext context) {
-            long nowNanos = Ticker.systemTicker().nanoTime();
-            beginPoll(nowNanos, context.canBlock() ? Math.max(0, context.delayNanos(nowNanos)) : 0);
+            // The context counts from the origin of System.nanoTime(), unlike the ticker.
+            long maxBlockNanos = context.canBlock() ? Math.max(0, context.delayNanos(System.nanoTime())) : 0;
+            beginPoll(Ticker.systemTicker().nanoTime(), maxBlockNanos);
             recordingContext.delegate = context;
             return delegate.run(recordingContext);
         }
--- /dev/null
+++ b/src/test/java/gatefront/agent/DepartedClientsTest.java
@@ -0,0 +1,235 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gatefront.agent.ThriftTestService.Args;
+import gatefront.agent.ThriftTestService.Processor;
+import gatefront.agent.ThriftTestService.Result;
+import gatefront.thrift.codec.MessageFormat;
+import gatefront.thrift.codec.ThriftEncoding;
+import gatefront.transport.HeldLoop;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against forwarding a request whose client has closed its connection: where the close has arrived before an
+ * attempt begins, no server gets the request.
+ */
+@Tag("known-red")
+class DepartedClientsTest {
+    /** Longer than the time after a client's close within which an attempt may still begin. */
+    private static final long HOLD_MS = 300;
+    /** Requests on one connection, more than the agent reads ahead of the first response. */
+    private static final int MANY_PIPELINED = 8;
+
+    private AgentFixture fixture;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        fixture = new AgentFixture();
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        fixture.close();
+    }
+
+    private static void respond(ScriptedPeer.Message message, Socket socket) throws IOException {
+        ScriptedPeer.respond(socket, 200, "", "served");
+    }
+
+    private static void pass(long millis) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(millis);
+    }
+
+    private void sendAndLeave(Socket client, String requests) throws IOException {
+        ScriptedPeer.write(client, requests);
+        client.close();
+    }
+
+    private HeldLoop hold() throws InterruptedException {
+        return HeldLoop.hold(fixture.agent.loop(), () -> {});
+    }
+
+    /** Waits until the loop has handled what has arrived so far, in a few turns. */
+    private void settle() throws Exception {
+        for (int turn = 0; turn < 5; turn++) {
+            pass(20);
+            fixture.agent.loop().submit(() -> {}).get();
+        }
+    }
+
+    private void holdForAWhileAndRelease(HeldLoop held) throws Exception {
+        pass(HOLD_MS);
+        held.release();
+        settle();
+    }
+
+    private int forwarded(String requestClass) {
+        return (int) fixture.servers.stream()
+                .flatMap(server -> server.requests.stream())
+                .filter(message -> message.target().startsWith("/" + requestClass))
+                .count();
+    }
+
+    @Test
+    void requestOnAKeptConnectionIsNotForwardedAfterAHold() throws Exception {
+        fixture.server(DepartedClientsTest::respond);
+        fixture.start();
+        Socket client = fixture.dial();
+        AgentFixture.exchange(client, fixture.request("lookup", 2_000, ""));
+        HeldLoop held = hold();
+        sendAndLeave(client, fixture.request("pay", 2_000, "body"));
+        holdForAWhileAndRelease(held);
+        assertEquals(0, forwarded("pay"));
+    }
+
+    @Test
+    void requestInTheAcceptQueueIsNotForwardedAfterAHold() throws Exception {
+        fixture.server(DepartedClientsTest::respond);
+        fixture.start();
+        HeldLoop held = hold();
+        sendAndLeave(fixture.dial(), fixture.request("pay", 2_000, "body"));
+        holdForAWhileAndRelease(held);
+        assertEquals(0, forwarded("pay"));
+    }
+
+    /** The server's failure and the client's close arrive during the same hold, the failure first. */
+    @Test
+    void requestIsNotRetriedAfterAHold() throws Exception {
+        CountDownLatch fail = new CountDownLatch(1);
+        for (int server = 0; server < 2; server++) {
+            fixture.server((message, socket) -> {
+                if (message.target().startsWith("/lookup")) {
+                    fail.await();
+                    ScriptedPeer.respond(socket, 503, "Not-Started: 1\r\n", "");
+                }
+            });
+        }
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, fixture.request("lookup", 8_000, ""));
+        AgentFixture.await(() -> forwarded("lookup") == 1);
+        HeldLoop held = hold();
+        fail.countDown();
+        pass(50);
+        client.close();
+        holdForAWhileAndRelease(held);
+        assertEquals(1, forwarded("lookup"));
+    }
+
+    /** The response to the first request and the client's close arrive during the same hold, the response first. */
+    @Test
+    void pipelinedRequestIsNotForwardedAfterAHold() throws Exception {
+        CountDownLatch serve = new CountDownLatch(1);
+        fixture.server((message, socket) -> {
+            serve.await();
+            respond(message, socket);
+        });
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, fixture.request("lookup", 8_000, "") + fixture.request("pay", 8_000, "body"));
+        AgentFixture.await(() -> forwarded("lookup") == 1);
+        HeldLoop held = hold();
+        serve.countDown();
+        pass(50);
+        client.close();
+        holdForAWhileAndRelease(held);
+        assertEquals(0, forwarded("pay"));
+    }
+
+    /** The agent has stopped reading from the connection, behind as many requests as it reads ahead. */
+    @Test
+    void requestsOfAConnectionThatIsNotReadAreNotForwarded() throws Exception {
+        CountDownLatch serve = new CountDownLatch(1);
+        fixture.server((message, socket) -> {
+            serve.await();
+            respond(message, socket);
+        });
+        fixture.start();
+        Socket client = fixture.dial();
+        StringBuilder requests = new StringBuilder(fixture.request("lookup", 8_000, ""));
+        for (int i = 1; i < MANY_PIPELINED; i++) {
+            requests.append(fixture.request("pay", 8_000, "body"));
+        }
+        ScriptedPeer.write(client, requests.toString());
+        AgentFixture.await(() -> forwarded("lookup") == 1);
+        client.close();
+        pass(HOLD_MS);
+        serve.countDown();
+        settle();
+        assertEquals(0, forwarded("pay"));
+    }
+
+    /** The agent has stopped reading from the connection, because what follows the request is invalid. */
+    @Test
+    void requestBeforeInvalidInputIsNotRetried() throws Exception {
+        CountDownLatch fail = new CountDownLatch(1);
+        for (int server = 0; server < 2; server++) {
+            fixture.server((message, socket) -> {
+                fail.await();
+                ScriptedPeer.respond(socket, 503, "Not-Started: 1\r\n", "");
+            });
+        }
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, fixture.request("lookup", 8_000, "") + "this is no request\r\n\r\n");
+        AgentFixture.await(() -> forwarded("lookup") == 1);
+        client.close();
+        pass(HOLD_MS);
+        fail.countDown();
+        settle();
+        assertEquals(1, forwarded("lookup"));
+    }
+
+    /** The end of a streamed body and the client's close arrive during the same hold. */
+    @Test
+    void streamedRequestIsNotCompletedAfterAHold() throws Exception {
+        fixture.server(DepartedClientsTest::respond);
+        fixture.start();
+        String request = fixture.request("pay", 8_000, "x".repeat(200_000));
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, request.substring(0, 150_000));
+        AgentFixture.await(() -> fixture.servers.get(0).sockets.stream().anyMatch(this::hasInput));
+        settle();
+        HeldLoop held = hold();
+        sendAndLeave(client, request.substring(150_000));
+        holdForAWhileAndRelease(held);
+        assertEquals(0, forwarded("pay"));
+    }
+
+    private boolean hasInput(Socket socket) {
+        try {
+            return !socket.isClosed() && socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void thriftCallIsNotForwardedAfterAHold() throws Exception {
+        MessageFormat format = new MessageFormat(true, ThriftEncoding.BINARY);
+        try (ThriftAgentFixture thrift = new ThriftAgentFixture(format)) {
+            Processor processor = thrift.server((name, args) -> new Result());
+            thrift.start();
+            HeldLoop held = HeldLoop.hold(thrift.agent.loop(), () -> {});
+            Socket client = thrift.dial();
+            new ThriftTestService.Client(
+                            ThriftAgentFixture.protocol(format.encoding(), new TFramedTransport(new TSocket(client))))
+                    .send("lookup", new Args("departed1", 2_000, null, "text"));
+            client.close();
+            pass(HOLD_MS);
+            held.release();
+            pass(100);
+            assertEquals(0, processor.calls.get());
+        }
+    }
+}
--- a/src/test/java/gatefront/rehearsal/ProcessRehearsalTest.java
+++ b/src/test/java/gatefront/rehearsal/ProcessRehearsalTest.java
@@ -82,6 +82,27 @@
         assertNotEquals(0, breaches(play("stopped-and-woken", 14, "waking"), Rule.DRAINS_KEPT));
     }
 
+    /** Guards against forwarding, after a hold of the agent, requests whose clients have closed their connections. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void heldAgentsForwardNothingForDepartedClients(long seed) throws Exception {
+        ProcessRehearsalResult outcome = new ProcessRehearsal(
+                        ProcessPlanReader.builtIn("held-agents", SOAK_AGENTS),
+                        seed,
+                        RealRehearsal.currentJvmCommand(),
+                        Set.of(),
+                        dir.resolve("history.jsonl"))
+                .play(done -> {});
+        assertEquals(
+                0,
+                breaches(outcome, Rule.NO_ATTEMPT_AFTER_CLOSE),
+                outcome.breaches().toString());
+        String history = Files.readString(dir.resolve("history.jsonl"));
+        assertTrue(history.contains("event loop: sockets were polled"), "the agents were held");
+        assertTrue(history.contains("the caller closed its connection"), "callers left");
+    }
+
     private ProcessRehearsalResult playSignals(long seed) throws Exception {
         return new ProcessRehearsal(
                         ProcessPlanReader.builtIn("signals", SOAK_AGENTS),
