Requests are processed after the read that brought them, not inside the decoder

Cause: the check of the client's connection before an attempt reads from the channel; begun inside the decoder of the same channel it decodes recursively, and the outer call goes on with a buffer that was replaced meanwhile.

Frontends process what was read when the read is complete, HTTP and Thrift alike; reading is paused at once at the limits of before. An upload that is given up in the same read in which it began gets its error in its turn; the connection is not closed over it.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -277,6 +277,9 @@
         /** The body that is being streamed to a server because it is too long to be buffered, or null. */
         private BodyStream upload;
 
+        /** A streamed body whose last part has just been read, or null. */
+        private BodyStream completedUpload;
+
         private long uploadedBytes;
         /** Framing of the body that is being received; see {@link StrictHttpDecoders#framing}. */
         private long bodyFraming;
@@ -302,6 +305,7 @@
         @Override
         protected void onReadTimeout() {
             rejectInput(HttpResponseStatus.REQUEST_TIMEOUT);
+            processNext();
         }
 
         @Override
@@ -320,6 +324,10 @@
                 upload.abort();
                 upload = null;
             }
+            if (completedUpload != null) {
+                completedUpload.abort();
+                completedUpload = null;
+            }
         }
 
         private boolean isWritable() {
@@ -356,9 +364,8 @@
                 addBody(content.content());
             }
             if (message instanceof LastHttpContent && !ignoresInput && upload != null) {
-                BodyStream complete = upload;
+                completedUpload = upload;
                 upload = null;
-                complete.complete();
             } else if (message instanceof LastHttpContent && !ignoresInput) {
                 ClientRequest complete = incomingRequest == null || !body.isReadable()
                         ? incomingRequest
@@ -368,8 +375,15 @@
             }
         }
 
+        /** Processes what was read. Not earlier: that may read from the channel again, which decoders do not allow. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (completedUpload != null) {
+                BodyStream complete = completedUpload;
+                completedUpload = null;
+                complete.complete();
+            }
+            processNext();
             if ((state() == State.NEW || state() == State.KEEP_ALIVE) && decoder.isRequestStarted()) {
                 transitionTo(State.READING_REQUEST);
             }
@@ -472,6 +486,13 @@
         /** Aborts a streamed request body, of which no server gets the whole, and responds with {@code status}. */
         private void abortUpload(HttpResponseStatus status) {
             BodyStream stream = upload;
+            if (isQueued(stream)) { // no server has been chosen for it: its response is the error, in its turn
+                pipelined.removeLast();
+                upload = null;
+                stream.abort();
+                rejectInput(status);
+                return;
+            }
             Exchange exchange = current;
             if (exchange == null || pipelined.stream().anyMatch(queued -> queued.request != null)) {
                 // Earlier responses are due first, and the error must not overtake them.
@@ -488,6 +509,13 @@
             channel.config().setAutoRead(true); // the rest is read and discarded until the client has read the response
         }
 
+        private boolean isQueued(BodyStream stream) {
+            QueuedRequest last = pipelined.peekLast();
+            return last != null
+                    && last.request != null
+                    && last.request.payload().bodyStream() == stream;
+        }
+
         /** Guards against holding open for ever a request body that stops in the middle. */
         private void scheduleUploadStallCheck(BodyStream stream, long uploadedBefore) {
             transport
@@ -530,7 +558,9 @@
 
         private void enqueue(QueuedRequest queued) {
             pipelined.add(queued);
-            processNext();
+            if (pipelined.size() >= MAX_PIPELINED) {
+                channel.config().setAutoRead(false);
+            }
         }
 
         /** Processes the next pipelined request once the response before it is sent and the client reads responses. */
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -186,11 +186,15 @@
                 return;
             }
             queued.add(call);
-            processQueued();
+            if (queued.size() >= MAX_QUEUED) {
+                channel.config().setAutoRead(false);
+            }
         }
 
+        /** Processes what was read. Not earlier: that may read from the channel again, which decoders do not allow. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            processQueued();
             if ((state() == State.NEW || state() == State.KEEP_ALIVE) && decoder.hasPartialMessage()) {
                 transitionTo(State.READING_REQUEST);
             }
--- a/src/test/java/gatefront/agent/DepartedClientsTest.java
+++ b/src/test/java/gatefront/agent/DepartedClientsTest.java
@@ -10,6 +10,8 @@
 import gatefront.transport.HeldLoop;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.transport.TSocket;
@@ -28,6 +30,8 @@
     /** Requests on one connection, more than the agent reads ahead of the first response. */
     private static final int MANY_PIPELINED = 8;
 
+    private static final int ROUNDS = 20;
+
     private AgentFixture fixture;
 
     @BeforeEach
@@ -188,6 +192,34 @@
         assertEquals(1, forwarded("lookup"));
     }
 
+    /** Requests that arrive while earlier ones are being processed are read ahead; their responses keep their order. */
+    @Test
+    void responsesKeepTheOrderOfRequestsThatAreReadAhead() throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", message.header("Request-Id")));
+        fixture.start();
+        Socket client = fixture.dial();
+        for (int round = 0; round < ROUNDS; round++) {
+            StringBuilder requests = new StringBuilder();
+            List<String> ids = new ArrayList<>();
+            for (int i = 0; i < 2 * MANY_PIPELINED; i++) {
+                boolean safe = i % 3 == 0;
+                String request = fixture.request(safe ? "lookup" : "pay", 8_000, safe ? "" : "x".repeat(100 * i));
+                ids.add(request.replaceFirst("(?s).*Request-Id: (\\w+).*", "$1"));
+                requests.append(request);
+            }
+            HeldLoop held = hold();
+            // Two parts, so that the second one is in the socket while the first is being processed.
+            int half = requests.length() / 2;
+            ScriptedPeer.write(client, requests.substring(0, half));
+            ScriptedPeer.write(client, requests.substring(half));
+            held.release();
+            for (String id : ids) {
+                ScriptedPeer.Message response = ScriptedPeer.read(client.getInputStream());
+                assertEquals("200 " + id, response.status() + " " + response.text());
+            }
+        }
+    }
+
     /** The end of a streamed body and the client's close arrive during the same hold. */
     @Test
     void streamedRequestIsNotCompletedAfterAHold() throws Exception {
