--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -296,8 +296,8 @@
     }
 
     /**
-     * Pauses accepting for a moment. Guards against a loop that does nothing but fail to accept, for want of descriptors or
-     * memory in the whole system; the pause is short, as clients are waiting in the accept queue.
+     * Pauses accepting for a moment. Guards against a loop that does nothing but fail to accept, for want of descriptors
+     * or memory in the whole system; the pause is short, as clients are waiting in the accept queue.
      */
     private void acceptFailed(Throwable cause) {
         long nowNanos = transport.nanos();
@@ -449,8 +449,8 @@
         }
 
         /**
-         * Returns when the input that is being read was sent, as far as is known. It is now, unless the process was held
-         * up, or the connection waited to be accepted, for longer than a client's time may be counted late.
+         * Returns when the input that is being read was sent, as far as is known. It is now, unless the process was
+         * held up, or the connection waited to be accepted, for longer than a client's time may be counted late.
          */
         protected final long sentNanos() {
             long polledNanos = transport.arrivedAfterNanos();
--- a/src/main/java/gatefront/connection/AcceptQueue.java
+++ b/src/main/java/gatefront/connection/AcceptQueue.java
@@ -9,9 +9,9 @@
 import java.util.function.Consumer;
 
 /**
- * Records on each accepted connection since when it may have waited in the accept queue of the listener: the queue is known
- * to have been empty then. Several turns of the loop may pass before a long queue is empty, and accepting may be paused or
- * fail meanwhile. A handler of the listening channel, confined to the event loop.
+ * Records on each accepted connection since when it may have waited in the accept queue of the listener: the queue is
+ * known to have been empty then. Several turns of the loop may pass before a long queue is empty, and accepting may be
+ * paused or fail meanwhile. A handler of the listening channel, confined to the event loop.
  */
 @Sharable
 final class AcceptQueue extends ChannelInboundHandlerAdapter {
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -297,8 +297,8 @@
         /** The response if it is being streamed, else null. */
         private BodyStream responseStream;
         /**
-         * The latest chunk of a streamed request, or null. It is held back until the next one, or the end, has arrived, so
-         * that the last byte is sent only if the client is still there.
+         * The latest chunk of a streamed request, or null. It is held back until the next one, or the end, has arrived,
+         * so that the last byte is sent only if the client is still there.
          */
         private ByteBuf heldChunk;
 
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -574,71 +574,8 @@
                             + " us");
         }
         pending.outstandingAttempts++;
-        pending.attempts.add(
-                pending.upstream.send(server, pending.request.payload(), timeoutMicros, new Upstream.Listener() {
-                    /** Start of the measured latency, in microseconds; the last byte sent if the body is streamed. */
-                    private long latencyStartMicros = sentAt;
-
-                    /** How long the server took until its response started, in microseconds; negative before that. */
-                    private long latencyMicros = -1;
-
-                    @Override
-                    public void onResult(Upstream.Result result) {
-                        boolean served = result.outcome() == Balancer.Outcome.OK && latencyMicros >= 0;
-                        attemptEnded(
-                                pending, attempt, server, served ? latencyMicros : now() - latencyStartMicros, result);
-                    }
-
-                    @Override
-                    public boolean isStillWanted() {
-                        return isAwaited(pending);
-                    }
-
-                    @Override
-                    public void onRequestSent() {
-                        counters.recordAttempt();
-                        if (isTracing()) {
-                            traceEvent(pending.request, "attempt " + attempt + " written");
-                        }
-                        if (pending.request.payload().bodyStream() != null && !pending.answered) {
-                            startDeadlineTimer(
-                                    pending,
-                                    transport.nanos()); // both the timeout and the latency count from the last byte
-                            latencyStartMicros = now();
-                        }
-                    }
-
-                    @Override
-                    public void onRequestStreaming() {
-                        pending.deadlineTimer.cancel(false);
-                        reportStreaming();
-                    }
-
-                    @Override
-                    public void onResponseStarted() {
-                        latencyMicros = now()
-                                - latencyStartMicros; // sending the response body is not counted as the server's work
-                    }
-
-                    @Override
-                    public void onResponseStreaming(Payload response) {
-                        if (pending.answered || pending.streaming) {
-                            pending.attempts.get(attempt).cancel();
-                            return;
-                        }
-                        pending.streaming = true;
-                        pending.streamedResponse = response;
-                        pending.deadlineTimer.cancel(false);
-                        reportStreaming();
-                        pending.exchange.served(response);
-                    }
-
-                    private void reportStreaming() {
-                        dispatch(
-                                pending,
-                                () -> balancer.streamStarted(now(), pending.id, attempt, server, now() - sentAt));
-                    }
-                }));
+        Upstream.Listener listener = new AttemptListener(pending, attempt, server, sentAt);
+        pending.attempts.add(pending.upstream.send(server, pending.request.payload(), timeoutMicros, listener));
     }
 
     @Override
@@ -713,6 +650,80 @@
                         match -> Matcher.quoteReplacement("server " + serverNames.get(Long.valueOf(match.group(1))))));
     }
 
+    /** Follows one attempt of a request. */
+    private final class AttemptListener implements Upstream.Listener {
+        private final Pending pending;
+        private final int attempt;
+        private final long server;
+        private final long sentAtMicros;
+        /** Start of the measured latency; the time of the last byte sent if the body is streamed. */
+        private long latencyStartMicros;
+
+        /** How long the server took until its response started; negative before that. */
+        private long latencyMicros = -1;
+
+        AttemptListener(Pending pending, int attempt, long server, long sentAtMicros) {
+            this.pending = pending;
+            this.attempt = attempt;
+            this.server = server;
+            this.sentAtMicros = sentAtMicros;
+            this.latencyStartMicros = sentAtMicros;
+        }
+
+        @Override
+        public void onResult(Upstream.Result result) {
+            boolean served = result.outcome() == Balancer.Outcome.OK && latencyMicros >= 0;
+            attemptEnded(pending, attempt, server, served ? latencyMicros : now() - latencyStartMicros, result);
+        }
+
+        @Override
+        public boolean isStillWanted() {
+            return isAwaited(pending);
+        }
+
+        @Override
+        public void onRequestSent() {
+            counters.recordAttempt();
+            if (isTracing()) {
+                traceEvent(pending.request, "attempt " + attempt + " written");
+            }
+            if (pending.request.payload().bodyStream() != null && !pending.answered) {
+                // Both the timeout and the latency count from the last byte.
+                startDeadlineTimer(pending, transport.nanos());
+                latencyStartMicros = now();
+            }
+        }
+
+        @Override
+        public void onRequestStreaming() {
+            pending.deadlineTimer.cancel(false);
+            reportStreaming();
+        }
+
+        @Override
+        public void onResponseStarted() {
+            // Sending the response body is not counted as the server's work.
+            latencyMicros = now() - latencyStartMicros;
+        }
+
+        @Override
+        public void onResponseStreaming(Payload response) {
+            if (pending.answered || pending.streaming) {
+                pending.attempts.get(attempt).cancel();
+                return;
+            }
+            pending.streaming = true;
+            pending.streamedResponse = response;
+            pending.deadlineTimer.cancel(false);
+            reportStreaming();
+            pending.exchange.served(response);
+        }
+
+        private void reportStreaming() {
+            dispatch(pending, () -> balancer.streamStarted(now(), pending.id, attempt, server, now() - sentAtMicros));
+        }
+    }
+
     private boolean isTracing() {
         return transport.trace().isEnabled();
     }
--- a/src/main/java/gatefront/transport/EventTrace.java
+++ b/src/main/java/gatefront/transport/EventTrace.java
@@ -5,8 +5,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Records what happens to single requests and connections, one line for each event, so that the history of a request can
- * be followed after an incident. It is off by default; callers check {@link #isEnabled()} before they build a text.
+ * Records what happens to single requests and connections, one line for each event, so that the history of a request
+ * can be followed after an incident. It is off by default; callers check {@link #isEnabled()} before they build a text.
  */
 public final class EventTrace {
     /** A trace that records nothing. */
--- a/src/main/java/gatefront/transport/PollTimes.java
+++ b/src/main/java/gatefront/transport/PollTimes.java
@@ -10,8 +10,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Records when an event loop last polled its sockets, and reports polls that came late because the process was suspended
- * or the loop was busy. What a poll finds ready has arrived after the poll before it. Confined to the loop's thread.
+ * Records when an event loop last polled its sockets, and reports polls that came late because the process was
+ * suspended or the loop was busy. What a poll finds ready has arrived after the poll before it. Confined to the loop's thread.
  */
 final class PollTimes {
     /** Lateness of a poll from which on it is reported. */
@@ -39,7 +39,7 @@
         return executor -> new RecordingHandler(factory.newHandler(executor));
     }
 
-    /** Returns when the poll before the latest one ended; everything read since the latest one has arrived after that. */
+    /** Returns when the poll before the latest one ended; what was read since the latest one has arrived after that. */
     long previousPollNanos() {
         return previousPollNanos;
     }
--- a/src/main/java/gatefront/transport/Transport.java
+++ b/src/main/java/gatefront/transport/Transport.java
@@ -19,8 +19,8 @@
     }
 
     /**
-     * Returns a time on the clock of {@link #nanos()} before which nothing that is being read now has arrived, on channels
-     * that were being read from by then: when the loop polled its sockets for the time before the latest.
+     * Returns a time on the clock of {@link #nanos()} before which nothing that is being read now has arrived, on
+     * channels that were being read from by then: when the loop polled its sockets for the time before the latest.
      */
     default long arrivedAfterNanos() {
         return nanos();
--- a/src/test/java/gatefront/agent/RemainingTimeTest.java
+++ b/src/test/java/gatefront/agent/RemainingTimeTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against telling a server more time than the client has left: a request's time counts from when it was sent, also
- * while the agent was held up, had not accepted its connection or was processing requests before it.
+ * Guards against telling a server more time than the client has left: a request's time counts from when it was sent,
+ * also while the agent was held up, had not accepted its connection or was processing requests before it.
  */
 class RemainingTimeTest {
     private static final long TIMEOUT_MS = 2_000;
