--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -296,8 +296,8 @@
     }
 
     /**
-     * Pauses accepting for a moment. Guards against a loop that does nothing but fail to accept, for want of descriptors
-     * or memory in the whole system; the pause is short, as clients are waiting in the accept queue.
+     * Pauses accepting for a moment. Guards against a loop that does nothing but fail to accept, for want of
+     * descriptors or memory in the whole system; the pause is short, as clients are waiting in the accept queue.
      */
     private void acceptFailed(Throwable cause) {
         long nowNanos = transport.nanos();
--- a/src/main/java/gatefront/connection/LocalFailure.java
+++ b/src/main/java/gatefront/connection/LocalFailure.java
@@ -13,8 +13,8 @@
     private LocalFailure() {}
 
     /**
-     * Returns whether a connection could not be made for want of descriptors, memory, ports or a network on this machine
-     * (EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH), which says nothing about the server.
+     * Returns whether a connection could not be made for want of descriptors, memory, ports or a network on this
+     * machine (EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH), which says nothing about the server.
      */
     static boolean isLocal(Throwable cause) {
         if (cause instanceof ChannelException || cause instanceof BindException) {
--- a/src/main/java/gatefront/transport/PollTimes.java
+++ b/src/main/java/gatefront/transport/PollTimes.java
@@ -11,7 +11,8 @@
 
 /**
  * Records when an event loop last polled its sockets, and reports polls that came late because the process was
- * suspended or the loop was busy. What a poll finds ready has arrived after the poll before it. Confined to the loop's thread.
+ * suspended or the loop was busy. What a poll finds ready has arrived after the poll before it. Confined to the loop's
+ * thread.
  */
 final class PollTimes {
     /** Lateness of a poll from which on it is reported. */
--- a/src/main/java/gatefront/transport/UnopenedChannel.java
+++ b/src/main/java/gatefront/transport/UnopenedChannel.java
@@ -15,8 +15,8 @@
 
 /**
  * Stands for a channel whose socket could not be opened: connecting fails with the reason. Unlike the channel that a
- * bootstrap makes up for a factory that throws, it belongs to the event loop, so that its listeners run there, and it can
- * be closed.
+ * bootstrap makes up for a factory that throws, it belongs to the event loop, so that its listeners run there, and it
+ * can be closed.
  */
 public final class UnopenedChannel extends AbstractChannel {
     private static final ChannelMetadata METADATA = new ChannelMetadata(false);
