A request whose time passed in a hold is not written

What servers saw: a request with Request-Timeout-Ms: 1 whose client's time had passed, and blame with a timeout for it. Cause: connections that were established during a hold are handled before the timers that became due in it, and the time left was rounded up to 1 ms. Fix: the attempt ends as NEVER_SENT instead. Evidence: requestWhoseTimePassedBeforeItWasWrittenIsNotSent failed before (TIMEOUT), passes now, with the tests of upstreams, departed clients and large bodies.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -501,6 +501,10 @@
                 end(Outcome.CANCELLED);
                 return;
             }
+            if (hasDeadline && transport.nanos() - deadlineNanos >= 0) {
+                end(Outcome.NEVER_SENT); // the loop was held up; the timeout's timer is about to run
+                return;
+            }
             requestStarted = true;
             if (request.bodyStream() != null) {
                 streamRequest(request.bodyStream());
--- a/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
+++ b/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
@@ -1,6 +1,7 @@
 package gatefront.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
@@ -53,6 +54,24 @@
         }
     }
 
+    /** Guards against writing a request whose time passed during a hold of the loop, before its connection was there. */
+    @Test
+    void requestWhoseTimePassedBeforeItWasWrittenIsNotSent() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Upstream.Result> result = new CompletableFuture<>();
+            HeldLoop held = HeldLoop.hold(transport.loop(), () -> {});
+            transport.loop().execute(() -> sendRequest((InetSocketAddress) listener.getLocalSocketAddress(), result));
+            HeldLoop beforeConnected = HeldLoop.hold(transport.loop(), held);
+            TimeUnit.MILLISECONDS.sleep(500); // the attempt's timeout of 300 ms passes
+            beforeConnected.release();
+            Balancer.Outcome outcome = result.get(10, TimeUnit.SECONDS).outcome();
+            assertTrue(outcome.neverRan(), outcome.name());
+            Socket server = listener.accept();
+            TimeUnit.MILLISECONDS.sleep(50);
+            assertEquals(0, server.getInputStream().available(), "bytes sent to the server");
+        }
+    }
+
     private void sendRequest(InetSocketAddress address, CompletableFuture<Upstream.Result> result) {
         HttpUpstream upstream = new HttpUpstream(
                 transport,
--- a/src/test/java/gatefront/transport/HeldLoop.java
+++ b/src/test/java/gatefront/transport/HeldLoop.java
@@ -22,6 +22,15 @@
         return held;
     }
 
+    /** Releases an earlier hold, and holds {@code loop} up again after the tasks that were queued meanwhile. */
+    public static HeldLoop hold(EventLoop loop, HeldLoop earlier) throws InterruptedException {
+        HeldLoop held = new HeldLoop();
+        loop.execute(held::block);
+        earlier.release();
+        held.entered.await();
+        return held;
+    }
+
     /**
      * Holds {@code loop} up at a point after it has polled its sockets and before the timers run that become due within
      * the next {@code millis}.
