--- a/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
+++ b/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
@@ -54,7 +54,7 @@
         }
     }
 
-    /** Guards against writing a request whose time passed during a hold of the loop, before its connection was there. */
+    /** Guards against writing a request whose time passed during a hold, before its connection was established. */
     @Test
     void requestWhoseTimePassedBeforeItWasWrittenIsNotSent() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
