A timeout that is due does not cut off a response that has begun

What callers see: a long response that ends in the middle. Cause: when an attempt's timeout is due, what has arrived is read first; where that is the beginning of a long response, streaming it starts and its timeout is withdrawn, but the attempt was ended all the same. It takes a hold of the loop between poll and timers. Evidence: attemptTimeoutDoesNotCutOffAResponseThatHasBegun failed before, passes now with the tests of large bodies and the upstream.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -524,7 +524,10 @@
 
         private void timedOut() {
             readArrivedResponse();
-            end(connection == null && localFailures > 0 ? Outcome.NEVER_SENT : Outcome.TIMEOUT);
+            if (responseStream
+                    == null) { // else what has just been read begins a streamed response, which has no timeout
+                end(connection == null && localFailures > 0 ? Outcome.NEVER_SENT : Outcome.TIMEOUT);
+            }
         }
 
         /** Guards against blaming the server for a response that arrived while the loop was held up. */
--- a/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
+++ b/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
@@ -1,18 +1,22 @@
 package gatefront.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
+import gatefront.engine.BodyStream;
 import gatefront.engine.Payload;
 import gatefront.engine.Upstream;
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer;
 import gatefront.transport.HeldLoop;
 import gatefront.transport.SocketTransport;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -27,6 +31,9 @@
 
 /** Tests that a server is not blamed for the time in which the event loop was held up. */
 class HeldLoopUpstreamTest {
+    /** More than is buffered of a response before it is streamed. */
+    private static final int LONG_BODY_BYTES = 100_000;
+
     private final SocketTransport transport = new SocketTransport();
 
     @AfterEach
@@ -54,6 +61,31 @@
         }
     }
 
+    /** Guards against cutting off a long response that begins to be streamed as its timeout is due, after a hold. */
+    @Test
+    void attemptTimeoutDoesNotCutOffAResponseThatHasBegun() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Upstream.Result> result = new CompletableFuture<>();
+            transport
+                    .loop()
+                    .submit(() -> sendRequest((InetSocketAddress) listener.getLocalSocketAddress(), result))
+                    .get();
+            Socket server = listener.accept();
+            server.getInputStream().readNBytes(16);
+            HeldLoop held = HeldLoop.holdBeforeTimers(transport.loop(), 400); // the attempt's timeout of 300 ms passes
+            OutputStream out = server.getOutputStream();
+            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * LONG_BODY_BYTES + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            out.write(new byte[LONG_BODY_BYTES]);
+            TimeUnit.MILLISECONDS.sleep(50);
+            held.release();
+            TimeUnit.MILLISECONDS.sleep(100);
+            assertFalse(result.isDone(), "the response is being streamed");
+            out.write(new byte[LONG_BODY_BYTES]);
+            assertEquals(Balancer.Outcome.OK, result.get(10, TimeUnit.SECONDS).outcome());
+        }
+    }
+
     /** Guards against writing a request whose time passed during a hold, before its connection was established. */
     @Test
     void requestWhoseTimePassedBeforeItWasWrittenIsNotSent() throws Exception {
@@ -82,6 +114,31 @@
                 new Endpoint(new Balancer.Server(7, 0, 0, 0, Balancer.Phase.READY, 1, 0), "s-1", address));
         Payload request = new HttpUpstream.OutgoingRequest(
                 HttpMethod.GET, "/lookup", new DefaultHttpHeaders(), HttpUpstream.NO_BODY);
-        upstream.send(7, request, 300_000, result::complete);
+        upstream.send(7, request, 300_000, new Upstream.Listener() {
+            @Override
+            public void onResult(Upstream.Result ended) {
+                result.complete(ended);
+            }
+
+            @Override
+            public void onResponseStreaming(Payload response) {
+                ((HttpUpstream.ServedResponse) response).bodyStream().attach(new DiscardingConsumer());
+            }
+        });
+    }
+
+    /** Reads a streamed body to its end. */
+    private static final class DiscardingConsumer implements BodyStream.Consumer {
+        @Override
+        public boolean onChunk(ByteBuf chunk) {
+            chunk.release();
+            return true;
+        }
+
+        @Override
+        public void onComplete() {}
+
+        @Override
+        public void onAbort() {}
     }
 }
