Review case 1: slow readers of long answers bring the whole agent to a standstill

Need: a graver fault than the upload to a hung server, which was case 1 so far. What waits for slow readers is held in direct buffers; 8 MB of them are used up by some 170 connections, and the JDK then sleeps on the event loop for each buffer that it fails to get.

Change: review/1 is the new case.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,5 +5,5 @@
 temp=$(mktemp -d) || exit 2
 trap 'rm -rf "$temp"' EXIT
 cd "$root" || exit 2
-[ -f target/review/HungUpload.class ] || { echo "run review/build.sh first"; exit 2; }
-java -Xmx256m -cp target/review HungUpload "$root" "$folder" "$temp"
+[ -f target/review/SlowReaders.class ] || { echo "run review/build.sh first"; exit 2; }
+java -Xmx256m -cp target/review SlowReaders "$root" "$folder" "$temp"
