Review case 1: closes with nothing read are excused, and servers announce their closes

Change: such closes are not counted; Connection: close; a class of the site; the claim names the excuses. Rig: Retry-After off, for all scripts.

--- a/review/1/SlowReaders.java
+++ b/review/1/SlowReaders.java
@@ -1,9 +1,12 @@
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -32,20 +35,24 @@
         long at;
         volatile long answeredAt = -1;
         volatile String answer = "none yet";
+        /** Whether the agent ended the connection without an answer. */
+        volatile boolean closed;
     }
 
     private static boolean ruleHolds(Rig rig) throws Exception {
         byte[] piece = new byte[64 << 10];
+        Set<String> begunShort = ConcurrentHashMap.newKeySet();
         List<Rig.Nodo> nodos = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             nodos.add(rig.new Nodo("nodo-" + i, "sala-centro", (nodo, request, connection) -> {
                 Rig.sleep(20);
-                if (!request.first.contains("/historial")) {
+                if (!request.first.contains("/datos-contacto")) {
+                    begunShort.add(request.header("Request-Id"));
                     return "done";
                 }
                 connection
                         .getOutputStream()
-                        .write(Rig.ascii("HTTP/1.1 200 OK\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"));
+                        .write(Rig.ascii("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"));
                 for (int sent = 0; sent < ANSWER_BYTES; sent += piece.length) {
                     connection.getOutputStream().write(piece, 0, Math.min(piece.length, ANSWER_BYTES - sent));
                 }
@@ -65,7 +72,7 @@
                         "automatic",
                         List.of(
                                 Rig.type("consulta-saldo", "safe", 500, 2_000, ""),
-                                Rig.type("historial", "safe", 500, 2_000, "")),
+                                Rig.type("datos-contacto", "safe", 400, 1_500, "")),
                         List.of("oaxaca-centro", "santa-lucia", "mitla", "etla")));
         Rig.Agent agent = rig.startAgent("agente-1", file, Map.of());
         agent.awaitReady(port, "/healthz", 20_000);
@@ -102,7 +109,12 @@
         }
         agent.noteLog();
         int lost = 0;
+        int unheard = 0;
         for (Sent request : sent) {
+            if (request.closed && !begunShort.contains(request.id)) {
+                unheard++; // the connection may have been closed before the request was read
+                continue;
+            }
             if (request.answeredAt < 0 || request.answeredAt - request.at > TIMEOUT_MS + ALLOWED_LATE_MS) {
                 lost++;
                 rig.note("BROKEN: short request " + request.id + ", sent at " + request.at + " ms, had no final answer "
@@ -111,7 +123,7 @@
             }
         }
         rig.note(sent.size() + " short requests taken, " + lost + " of them lost; the agent "
-                + (agent.process.isAlive() ? "runs" : "has ended"));
+                + (agent.process.isAlive() ? "runs" : "has ended") + "; closed unheard, not counted: " + unheard);
         // For the record only: what the platform would see at a restart.
         agent.signal("TERM");
         agent.awaitEnd(2_000 + 700);
@@ -124,7 +136,7 @@
     private static void readLong(
             Rig rig, int port, AtomicInteger begun, AtomicInteger whole, AtomicInteger refused) throws Exception {
         try (Rig.Client client = new Rig.Client(port)) {
-            client.write(Rig.ascii(Rig.head("historial", "mitla", true, null, Rig.newId(), TIMEOUT_MS, 0)));
+            client.write(Rig.ascii(Rig.head("datos-contacto", "mitla", true, null, Rig.newId(), 1_100, 0)));
             InputStream in = client.socket.getInputStream();
             byte[] bytes = new byte[BYTES_PER_SECOND / 10];
             long got = 0;
@@ -172,6 +184,7 @@
                 }
             } catch (IOException e) {
                 request.answer = "none, " + e;
+                request.closed = !(e instanceof SocketTimeoutException);
                 if (client != null) {
                     client.close();
                     client = null;
--- a/review/common/Rig.java
+++ b/review/common/Rig.java
@@ -613,7 +613,7 @@
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n"
                 + "\"known\":{\"index\":0,\"snapshot\":true,\"endpoints\":[]},\n\"settings\":{\n"
                 + "\"caps\":{\"cancel\":true,\"dial-timeout-us\":200000,\"idle-close-us\":60000000,\"max-attempts\":6,"
-                + "\"may-duplicate\":false,\"peers\":false,\"probes\":true,\"retry-after\":true,"
+                + "\"may-duplicate\":false,\"peers\":false,\"probes\":true,\"retry-after\":false,"
                 + "\"max-retry-after-us\":1000000},\n\"classes\":[" + String.join(",\n", classes) + "],\n"
                 + "\"deductions\":{\"cross-zone\":0.03,\"late-fail\":0.08,\"probe\":0.01,\"waste\":0.05},\n"
                 + "\"discovery\":\"" + mode + "\",\"granularity-us\":5000,\"group-size\":3,\"me\":0,"
