--- a/review/2/EffectChange.java
+++ b/review/2/EffectChange.java
@@ -23,6 +23,7 @@
     private static boolean ruleHolds(Rig rig) throws Exception {
         Map<String, List<String>> runs = new ConcurrentHashMap<>();
         AtomicInteger atBadServer = new AtomicInteger();
+        AtomicInteger failed = new AtomicInteger();
         List<Rig.Nodo> nodos = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             boolean bad = i == 0;
@@ -30,11 +31,14 @@
                 String id = request.header("Request-Id");
                 runs.computeIfAbsent(id, key -> new CopyOnWriteArrayList<>()).add(nodo.name);
                 rig.note(nodo.name + " runs " + request.first + " " + id + ", body of " + request.body.length);
-                // 90% of the requests at one server in six fail.
-                if (bad && atBadServer.incrementAndGet() % 10 != 0) {
+                // At one server in six the first request of ten is served, the others fail: never over 90%.
+                if (bad && atBadServer.getAndIncrement() % 10 != 0) {
+                    failed.incrementAndGet();
                     connection.getOutputStream()
-                            .write(Rig.ascii("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"));
-                    return request.header("Connection").equals("close") ? null : next(nodo, connection);
+                            .write(Rig.ascii("HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n"
+                                    + "Content-Length: 0\r\n\r\n"));
+                    connection.close();
+                    return null;
                 }
                 Rig.sleep(60);
                 return "done " + id;
@@ -86,19 +90,14 @@
         });
         rig.note(REQUESTS + " requests of the unsafe class sent, " + answers.size() + " answered, "
                 + answers.values().stream().filter(status -> status == 200).count() + " with 200; " + runs.size()
-                + " ran, " + twice + " of them more than once; the bad server got " + atBadServer);
-        if (atBadServer.get() == 0) {
-            throw new Rig.CannotRun("no request came to the bad server");
+                + " ran, " + twice + " of them more than once; the bad server got " + atBadServer
+                + " and failed " + failed);
+        if (failed.get() == 0) {
+            throw new Rig.CannotRun("no request failed at the bad server");
         }
         return twice == 0;
     }
 
-    /** Serves on after an answer that was written here. */
-    private static String next(Rig.Nodo nodo, java.net.Socket connection) throws Exception {
-        connection.close();
-        return null;
-    }
-
     private static void send(Rig rig, int port, Map<String, Integer> answers, Map<String, Long> lastByteAt)
             throws Exception {
         String id = Rig.newId();
