Buffers of connections are on the heap, and streamed bodies share a flow-control window

Cause: the event loop slept in java.nio.Bits.reserveMemory, up to half a second for each buffer. The run line gives 8 MB outside the heap. Each chunk of a streamed body kept the buffer it was read into, outside the heap: up to about 96 KB a stream, in the stream and in the channel of its reader, and nothing bounded the sum. Thrift's held replies and request bodies of servers that do not read have the same face.

Change: SocketTransport gives every connection an allocator on the heap, so that no peer can exhaust what lies outside it; the JDK copies what one system call moves. What waits on the heap is bounded: a stream pauses its producer by the bytes that are not written yet, and how many may be is a fraction of what is free of the account (dynamic threshold), 4 to 32 KB; reads are no larger. Small chunks are copied out of their read buffer.

DiscardingConsumer of HeldLoopUpstreamTest tells the stream what it has taken, as every consumer has to now.

--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -3,6 +3,7 @@
 import gatefront.budget.ResourceAccount;
 import gatefront.budget.ResourceBudget;
 import gatefront.budget.ResourcePurpose;
+import gatefront.budget.StreamWindow;
 import gatefront.engine.Frontend;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
@@ -107,6 +108,8 @@
     private final ResourceAccount connectionAccount;
     private final ResourceAccount requestAccount;
     private final ResourceAccount responseAccount;
+    /** Window of the request bodies that are streamed to servers. */
+    private final StreamWindow requestWindow;
     /** Knows since when connections may have waited to be accepted. */
     private final AcceptQueue acceptQueue;
     /** Counts while connections or resources are scarce; the silence of new connections is measured by it. */
@@ -136,6 +139,7 @@
         this.connectionAccount = budget.account(ResourcePurpose.CALLER_CONNECTIONS);
         this.requestAccount = budget.account(ResourcePurpose.REQUESTS);
         this.responseAccount = budget.account(ResourcePurpose.ANSWERS);
+        this.requestWindow = new StreamWindow(requestAccount);
         budget.addRecount(ResourcePurpose.CALLER_CONNECTIONS, () -> new ResourceBudget.Count(connections.size(), 0));
         budget.addRecount(
                 ResourcePurpose.REQUESTS,
@@ -158,7 +162,7 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, BufferLimits.receiveBufferAllocator())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, BufferLimits.receiveBufferAllocator(requestWindow::bytes))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BufferLimits.WRITE_WATER_MARK)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -343,7 +347,7 @@
                 "keep-alive timeout");
         expired(State.READING_REQUEST, READ_TIMEOUT_NANOS).forEach(Connection::timeOutIfSilent);
         expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS).stream()
-                .filter(connection -> !connection.channel.isWritable())
+                .filter(connection -> connection.unwrittenBytes > 0)
                 .forEach(connection -> connection.close("the client reads nothing of a streamed response"));
         expired(State.WRITING_LAST_RESPONSE, LAST_WRITE_TIMEOUT_NANOS)
                 .forEach(connection -> connection.close("timeout of writing the last response"));
@@ -376,6 +380,8 @@
         private long stateSinceActiveNanos;
         /** Bytes that the bodies of its requests hold in memory. */
         private int heldBytes;
+        /** Bytes of responses that have not been written yet. */
+        private long unwrittenBytes;
         /** When the frontend began to read from the connection. */
         private long readFromNanos;
         /** Why the agent closes the connection, or null if it does not. */
@@ -436,16 +442,31 @@
             return true;
         }
 
-        /** Releases reserved bytes. */
+        /** Releases reserved bytes; all of them are released when the connection is closed. */
         protected final void release(int bytes) {
-            heldBytes -= bytes;
-            requestAccount.shrink(bytes);
+            int released = Math.min(bytes, heldBytes);
+            heldBytes -= released;
+            requestAccount.shrink(released);
         }
 
-        /** Writes a response, whose bytes count as held until they have been written. */
+        /** Returns the window of a request body that is streamed to a server. */
+        protected final StreamWindow requestWindow() {
+            return requestWindow;
+        }
+
+        /**
+         * Writes a response or a part of one, whose bytes count as held until they have been written.
+         *
+         * @param message the message to write
+         * @param bytes number of bytes of its body
+         */
         protected final ChannelFuture writeResponse(Object message, int bytes) {
             responseAccount.add(1, bytes);
-            return channel.writeAndFlush(message).addListener(done -> responseAccount.release(bytes));
+            unwrittenBytes += bytes;
+            return channel.writeAndFlush(message).addListener(done -> {
+                responseAccount.release(bytes);
+                unwrittenBytes -= bytes;
+            });
         }
 
         /**
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -3,6 +3,7 @@
 import gatefront.budget.ResourceAccount;
 import gatefront.budget.ResourceBudget;
 import gatefront.budget.ResourcePurpose;
+import gatefront.budget.StreamWindow;
 import gatefront.engine.BodyStream;
 import gatefront.engine.Payload;
 import gatefront.engine.Upstream;
@@ -58,6 +59,8 @@
     private static final int MAX_LOCAL_FAILURES = 10;
 
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
+    /** Bytes at the end of what has arrived of a streamed request that are held back until more arrives. */
+    private static final int HELD_BACK_BYTES = 256;
     /** A streamed response of which nothing arrives for this long times out. */
     private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -73,6 +76,8 @@
     private int attemptCount;
     private final ResourceAccount connectionAccount;
     private final ResourceAccount responseAccount;
+    /** Window of the responses that are streamed to clients. */
+    private final StreamWindow responseWindow;
 
     /** The state kept for one server at one address. */
     private static final class Pool {
@@ -113,6 +118,7 @@
             ResourceBudget budget) {
         this.connectionAccount = budget.account(ResourcePurpose.SERVER_CONNECTIONS);
         this.responseAccount = budget.account(ResourcePurpose.SERVER_ANSWERS);
+        this.responseWindow = new StreamWindow(budget.account(ResourcePurpose.ANSWERS));
         this.transport = transport;
         this.loop = transport.loop();
         this.maxConnections = maxConnections;
@@ -122,7 +128,7 @@
                 .channelFactory(UnopenedChannel.insteadOfFailureOf(transport.clientChannels()))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutMicros / 1000))
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, BufferLimits.receiveBufferAllocator())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, BufferLimits.receiveBufferAllocator(responseWindow::bytes))
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BufferLimits.WRITE_WATER_MARK)
                 // Addresses are literal; Netty's default resolvers would hold on to the loop for ever.
                 .disableResolver();
@@ -306,8 +312,8 @@
         /** The response if it is being streamed, else null. */
         private BodyStream responseStream;
         /**
-         * The latest chunk of a streamed request, or null. It is held back until the next one, or the end, has arrived,
-         * so that the last byte is sent only if the client is still there.
+         * The end of what has arrived of a streamed request, or null. It is held back until more, or the end, has
+         * arrived, so that the last byte is sent only if the client is still there.
          */
         private ByteBuf heldChunk;
 
@@ -445,22 +451,28 @@
                 timeoutTimer.cancel(false);
             }
             Channel channel = connection.channel;
-            connection.upload = upload;
             channel.writeAndFlush(requestMessage(request, number, 0)); // the timeout counts from the last byte
             listener.onRequestStreaming();
             upload.attach(new BodyStream.Consumer() {
                 @Override
-                public boolean onChunk(ByteBuf chunk) {
+                public void onChunk(ByteBuf chunk) {
                     if (ended) {
                         chunk.release();
-                        return false;
+                        return;
                     }
                     ByteBuf previous = heldChunk;
+                    int writable = chunk.readableBytes() - HELD_BACK_BYTES;
+                    ByteBuf beginning = writable > 0 ? chunk.readRetainedSlice(writable) : null;
                     heldChunk = chunk; // before writing, which may deliver the next chunk
-                    if (previous != null) {
-                        channel.writeAndFlush(bodyChunk(previous));
+                    writeChunk(previous);
+                    writeChunk(beginning);
+                }
+
+                private void writeChunk(ByteBuf chunk) {
+                    if (chunk != null) {
+                        int bytes = chunk.readableBytes();
+                        channel.writeAndFlush(bodyChunk(chunk)).addListener(done -> upload.chunkWritten(bytes));
                     }
-                    return channel.isWritable();
                 }
 
                 @Override
@@ -469,11 +481,9 @@
                         end(Outcome.CANCELLED);
                         return;
                     }
-                    if (heldChunk != null) {
-                        ByteBuf last = heldChunk;
-                        heldChunk = null;
-                        channel.writeAndFlush(bodyChunk(last));
-                    }
+                    ByteBuf last = heldChunk;
+                    heldChunk = null;
+                    writeChunk(last);
                     channel.writeAndFlush(bodyEnd()).addListener(done -> requestWritten(done.isSuccess()));
                 }
 
@@ -572,7 +582,6 @@
             }
             if (connection != null) {
                 connection.attempt = null;
-                connection.upload = null;
                 boolean clean = !requestStarted || reusable && requestSent;
                 if (clean && !pool.retired && connection.channel.isActive()) {
                     connection.idleSinceNanos = transport.nanos();
@@ -592,9 +601,6 @@
         private final Pool pool;
         private Channel channel;
         private Attempt attempt;
-        /** The request body that is being streamed to the server, or null. */
-        private BodyStream upload;
-
         private long idleSinceNanos;
 
         private Connection(Pool pool) {
@@ -661,6 +667,11 @@
             partialBytes = 0;
         }
 
+        /** Returns the window of a response that is streamed to its client. */
+        protected final StreamWindow responseWindow() {
+            return responseWindow;
+        }
+
         /** Turns reading from the connection on or off. */
         protected final void setReading(boolean on) {
             connection.channel.config().setAutoRead(on);
@@ -678,13 +689,6 @@
                     TimeUnit.MILLISECONDS);
         }
 
-        @Override
-        public final void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            if (connection.upload != null && ctx.channel().isWritable()) {
-                connection.upload.resume();
-            }
-        }
-
         @Override
         public final void channelInactive(ChannelHandlerContext ctx) {
             traceConnection(ctx.channel(), connection.attempt == null ? "closed" : "closed during an attempt");
--- a/src/main/java/gatefront/engine/BodyStream.java
+++ b/src/main/java/gatefront/engine/BodyStream.java
@@ -1,22 +1,20 @@
 package gatefront.engine;
 
+import gatefront.budget.StreamWindow;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /**
  * A request or response body that is passed in chunks from the connection it arrives on to the connection it leaves by.
- * The producer pauses while the consumer cannot take more, so the bytes held are bounded by
- * {@link #HIGH_WATER_MARK_BYTES} plus one read, whatever the size of the body. Not thread-safe: all calls are made on
- * one event loop. Each chunk is released by whoever owns it when the stream ends; a closed stream owns none.
+ * The producer pauses while as many bytes as the {@link StreamWindow} allows wait to be written, so the bytes held are
+ * bounded by the window plus one read, whatever the size of the body. Not thread-safe: all calls are made on one event
+ * loop. Each chunk is released by whoever owns it when the stream ends; a closed stream owns none.
  */
 public final class BodyStream {
-    /** Pending bytes at which the producer has to pause. */
-    static final int HIGH_WATER_MARK_BYTES = 32 << 10;
-
     /** The source of the chunks, as the stream calls it back. */
     public interface Producer {
-        /** This many bytes are no longer held by the stream: they were passed to the consumer or discarded. */
+        /** This many bytes are no longer held: they were written or discarded. */
         void onConsumed(int bytes);
 
         /** The stream can take chunks again after {@link #write} returned false. */
@@ -31,8 +29,8 @@
      * onAbort}.
      */
     public interface Consumer {
-        /** Takes ownership of a chunk; returns false if it can take no other until {@link #resume()} is called. */
-        boolean onChunk(ByteBuf chunk);
+        /** Takes ownership of a chunk; {@link #chunkWritten} has to be called once it is written. */
+        void onChunk(ByteBuf chunk);
 
         /** The body is complete. */
         void onComplete();
@@ -49,17 +47,21 @@
     }
 
     private final Producer producer;
+    private final StreamWindow window;
+    /** Chunks that wait for a consumer to be attached. */
     private final Deque<ByteBuf> pending = new ArrayDeque<>();
-    private int pendingBytes;
+    /** Bytes that were received and have not been written, pending or with the consumer. */
+    private int unwrittenBytes;
+
     private long transferredBytes;
     private Consumer consumer;
-    private boolean consumerBlocked;
     private boolean producerPaused;
     private State state = State.OPEN;
 
     /** Creates an empty stream that is fed by {@code producer}. */
-    public BodyStream(Producer producer) {
+    public BodyStream(Producer producer, StreamWindow window) {
         this.producer = producer;
+        this.window = window;
     }
 
     /** Takes ownership of a chunk; returns false if the producer has to pause until {@link Producer#onResume()}. */
@@ -69,9 +71,9 @@
             return false;
         }
         pending.add(chunk);
-        pendingBytes += chunk.readableBytes();
+        unwrittenBytes += chunk.readableBytes();
         deliver();
-        producerPaused = state == State.OPEN && pendingBytes >= HIGH_WATER_MARK_BYTES;
+        producerPaused = state == State.OPEN && unwrittenBytes >= window.bytes();
         return !producerPaused;
     }
 
@@ -83,7 +85,7 @@
     /** Ends the body before it is complete; pending chunks are discarded. */
     public void abort() {
         if (state == State.OPEN) {
-            discardPending();
+            discardUnwritten();
         }
         finish(State.ABORTED);
     }
@@ -101,11 +103,12 @@
         deliver();
     }
 
-    /** Called by the consumer when it can take chunks again. */
-    public void resume() {
-        consumerBlocked = false;
-        deliver();
-        if (producerPaused && pendingBytes < HIGH_WATER_MARK_BYTES && state == State.OPEN) {
+    /** Called by the consumer when bytes of chunks were written, or will never be. */
+    public void chunkWritten(int bytes) {
+        int released = Math.min(bytes, unwrittenBytes); // after a cancellation all have been released
+        unwrittenBytes -= released;
+        producer.onConsumed(released);
+        if (producerPaused && unwrittenBytes < window.bytes() && state == State.OPEN) {
             producerPaused = false;
             producer.onResume();
         }
@@ -115,7 +118,7 @@
     public void cancel() {
         boolean wasOpen = state == State.OPEN;
         state = State.CLOSED;
-        discardPending();
+        discardUnwritten();
         if (wasOpen) {
             producer.onCancel();
         }
@@ -137,13 +140,10 @@
     }
 
     private void deliver() {
-        while (consumer != null && !consumerBlocked && !pending.isEmpty()) {
+        while (consumer != null && !pending.isEmpty()) {
             ByteBuf chunk = pending.poll();
-            int bytes = chunk.readableBytes();
-            pendingBytes -= bytes;
-            transferredBytes += bytes;
-            consumerBlocked = !consumer.onChunk(chunk);
-            producer.onConsumed(bytes);
+            transferredBytes += chunk.readableBytes();
+            consumer.onChunk(chunk);
         }
         if (consumer != null && pending.isEmpty() && (state == State.COMPLETED || state == State.ABORTED)) {
             boolean complete = state == State.COMPLETED;
@@ -156,12 +156,13 @@
         }
     }
 
-    private void discardPending() {
+    /** Releases the pending chunks, and counts those that the consumer has not written as released. */
+    private void discardUnwritten() {
         for (ByteBuf chunk = pending.poll(); chunk != null; chunk = pending.poll()) {
-            int bytes = chunk.readableBytes();
-            pendingBytes -= bytes;
             chunk.release();
-            producer.onConsumed(bytes);
         }
+        int discarded = unwrittenBytes;
+        unwrittenBytes = 0;
+        producer.onConsumed(discarded);
     }
 }
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -3,6 +3,7 @@
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
 import gatefront.connection.AbstractFrontend;
+import gatefront.connection.BufferLimits;
 import gatefront.engine.BodyStream;
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Engine;
@@ -225,14 +226,18 @@
             if (closeConnection) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            responseStream = served.bodyStream();
+            BodyStream stream = served.bodyStream();
+            responseStream = stream;
             connection.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers), 0);
             connection.beginStreaming();
-            responseStream.attach(new BodyStream.Consumer() {
+            stream.attach(new BodyStream.Consumer() {
                 @Override
-                public boolean onChunk(ByteBuf chunk) {
-                    connection.write(new DefaultHttpContent(chunk), chunk.readableBytes());
-                    return connection.isWritable();
+                public void onChunk(ByteBuf chunk) {
+                    int bytes = chunk.readableBytes();
+                    connection.write(new DefaultHttpContent(chunk), bytes).addListener(done -> {
+                        connection.streamProgressed(stream);
+                        stream.chunkWritten(bytes);
+                    });
                 }
 
                 @Override
@@ -330,10 +335,6 @@
             }
         }
 
-        private boolean isWritable() {
-            return channel.isWritable();
-        }
-
         /** Returns whether a streamed request body is still incomplete, so that the next request cannot be located. */
         private boolean isUploading() {
             return upload != null;
@@ -343,6 +344,13 @@
             transitionTo(State.STREAMING_RESPONSE);
         }
 
+        /** Restarts the clock of a streamed response, of which the client has read something. */
+        private void streamProgressed(BodyStream stream) {
+            if (current != null && current.responseStream == stream) {
+                transitionTo(State.STREAMING_RESPONSE);
+            }
+        }
+
         private void closeAfterAbort() {
             close("the streamed response was aborted");
         }
@@ -391,10 +399,6 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            if (current != null && current.responseStream != null && channel.isWritable()) {
-                transitionTo(State.STREAMING_RESPONSE); // the client has read some of it
-                current.responseStream.resume();
-            }
             processNext();
         }
 
@@ -440,7 +444,7 @@
                     abortUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 } else if (!reserve(length)) {
                     abortUpload(HttpResponseStatus.SERVICE_UNAVAILABLE);
-                } else if (!upload.write(bytes.retain())) {
+                } else if (!upload.write(BufferLimits.retain(bytes))) {
                     channel.config().setAutoRead(!upload.isPaused());
                 }
             } else if (!reserve(length)) {
@@ -452,28 +456,31 @@
 
         /** Starts streaming the request body: first what has been received, then the rest as it arrives. */
         private void beginUpload() {
-            BodyStream stream = new BodyStream(new BodyStream.Producer() {
-                @Override
-                public void onConsumed(int bytes) {
-                    release(bytes);
-                }
+            BodyStream stream = new BodyStream(
+                    new BodyStream.Producer() {
+                        @Override
+                        public void onConsumed(int bytes) {
+                            release(bytes);
+                        }
 
-                @Override
-                public void onResume() {
-                    if (!ignoresInput) {
-                        channel.config().setAutoRead(true);
-                    }
-                }
+                        @Override
+                        public void onResume() {
+                            if (!ignoresInput) {
+                                channel.config().setAutoRead(true);
+                            }
+                        }
 
-                @Override
-                public void onCancel() {
-                    // The response came before the body was complete: no further request is read, and the connection
-                    // is closed.
-                    ignoresInput = true;
-                    upload = null;
-                    channel.config().setAutoRead(true);
-                }
-            });
+                        @Override
+                        public void onCancel() {
+                            // The response came before the body was complete: no further request is read, and the
+                            // connection
+                            // is closed.
+                            ignoresInput = true;
+                            upload = null;
+                            channel.config().setAutoRead(true);
+                        }
+                    },
+                    requestWindow());
             ByteBuf received = body;
             body = Unpooled.EMPTY_BUFFER;
             upload = stream;
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -2,6 +2,7 @@
 
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
+import gatefront.connection.BufferLimits;
 import gatefront.connection.LoadReportParser;
 import gatefront.connection.PooledUpstream;
 import gatefront.engine.BodyStream;
@@ -234,7 +235,7 @@
                 if (streamedBytes > MAX_STREAMED_BODY_BYTES) {
                     return false;
                 }
-                if (length > 0 && !stream.write(content.content().retain())) {
+                if (length > 0 && !stream.write(BufferLimits.retain(content.content()))) {
                     setReading(!stream.isPaused());
                 }
                 return true;
@@ -248,20 +249,22 @@
 
         /** Streams the response to the client from now on; the request cannot be retried afterwards. */
         private void beginStreaming(Attempt attempt) {
-            BodyStream newStream = new BodyStream(new BodyStream.Producer() {
-                @Override
-                public void onConsumed(int bytes) {}
+            BodyStream newStream = new BodyStream(
+                    new BodyStream.Producer() {
+                        @Override
+                        public void onConsumed(int bytes) {}
 
-                @Override
-                public void onResume() {
-                    setReading(true);
-                }
+                        @Override
+                        public void onResume() {
+                            setReading(true);
+                        }
 
-                @Override
-                public void onCancel() {
-                    attempt.cancel();
-                }
-            });
+                        @Override
+                        public void onCancel() {
+                            attempt.cancel();
+                        }
+                    },
+                    responseWindow());
             stream = newStream;
             ByteBuf received = Unpooled.wrappedBuffer(ByteBufUtil.getBytes(body));
             body.clear().capacity(0);
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -15,6 +15,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -69,7 +70,7 @@
 
     @Override
     public ChannelFactory<? extends ServerChannel> serverChannels() {
-        return NioServerSocketChannel::new;
+        return ListeningChannel::new;
     }
 
     @Override
@@ -139,8 +140,23 @@
         group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> onClosed.run());
     }
 
+    private static Channel useHeapBuffers(Channel connection) {
+        connection.config().setAllocator(HeapBufferAllocator.INSTANCE);
+        return connection;
+    }
+
+    /** A listening channel whose connections use {@link HeapBufferAllocator}. */
+    private static class ListeningChannel extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            int count = super.doReadMessages(accepted);
+            accepted.forEach(connection -> useHeapBuffers((Channel) connection));
+            return count;
+        }
+    }
+
     /** A listening channel with {@code SO_REUSEPORT}. */
-    private static final class SharedServerChannel extends NioServerSocketChannel {
+    private static final class SharedServerChannel extends ListeningChannel {
         SharedServerChannel() {
             config().setOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
@@ -150,7 +166,7 @@
                 for (SocketChannel accepted = javaChannel().accept();
                         accepted != null;
                         accepted = javaChannel().accept()) {
-                    pipeline().fireChannelRead(new NioSocketChannel(this, accepted));
+                    pipeline().fireChannelRead(useHeapBuffers(new NioSocketChannel(this, accepted)));
                 }
                 pipeline().fireChannelReadComplete();
             } catch (IOException e) {
@@ -161,6 +177,10 @@
 
     /** A channel for outgoing connections that can be checked for unread input. */
     private static final class ClientChannel extends NioSocketChannel {
+        ClientChannel() {
+            useHeapBuffers(this);
+        }
+
         boolean hasNoUnreadInput() {
             try {
                 return isActive() && javaChannel().read(ByteBuffer.allocate(1)) == 0;
--- a/src/test/java/gatefront/agent/AgentFixture.java
+++ b/src/test/java/gatefront/agent/AgentFixture.java
@@ -61,6 +61,12 @@
         return peer;
     }
 
+    /** Adds a server that is not the fixture's to the known list. */
+    void list(String address) {
+        ArrayNode endpoints = (ArrayNode) config.get("known").get("endpoints");
+        endpoints.add(endpoint(endpoints.size() + 1, address, "Ready"));
+    }
+
     /** Creates a server that is not listed. */
     ScriptedPeer peer(ScriptedPeer.Script script) throws IOException {
         ScriptedPeer peer = new ScriptedPeer(script);
--- /dev/null
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -0,0 +1,219 @@
+package gatefront.agent;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Many slow peers at once, of an agent with the memory limits of the deploy file: they cost their own connections, and
+ * all other requests are answered in time.
+ */
+@Timeout(120)
+class SlowPeersTest {
+    private static final int SLOW_PEERS = 300;
+    private static final int MIB = 1 << 20;
+    /** Just under what is held whole. */
+    private static final int LARGEST_WHOLE_BODY = 60_000;
+
+    private static final int TIMEOUT_MS = 1_500;
+    /** How long after its time a request may still be answered. */
+    private static final int LATE_MS = 550;
+
+    /** Served, failed, refused, out of time. */
+    private static final Set<Integer> FINAL_STATUSES = Set.of(200, 502, 503, 504);
+
+    private static final int WATCHED_SECONDS = 4;
+
+    @TempDir
+    private Path folder;
+
+    private AgentFixture fixture;
+    private AgentProcess agent;
+    private final List<Closeable> silentServers = new CopyOnWriteArrayList<>();
+
+    @BeforeEach
+    void setUp() throws IOException {
+        fixture = new AgentFixture();
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        if (agent != null) {
+            agent.close();
+        }
+        fixture.close();
+        for (Closeable server : silentServers) {
+            server.close();
+        }
+    }
+
+    private void startAgent() throws IOException {
+        agent = new AgentProcess(folder, fixture.config, "");
+    }
+
+    /** Answers short requests at once and all others with a body of the given size, as fast as it is taken. */
+    private void serveBodies(int bytes) throws IOException {
+        byte[] piece = new byte[Math.min(bytes, 64 << 10)];
+        for (int i = 0; i < 8; i++) {
+            fixture.server((message, socket) -> {
+                if (message.header("Short") != null) {
+                    ScriptedPeer.respond(socket, 200, "", "served");
+                    return;
+                }
+                ScriptedPeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n");
+                for (int sent = 0; sent < bytes; sent += piece.length) {
+                    socket.getOutputStream().write(piece, 0, Math.min(piece.length, bytes - sent));
+                }
+            });
+        }
+    }
+
+    /** Lists a server that accepts connections and never reads from them. */
+    private void listSilentServer() throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(4 << 10);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), SLOW_PEERS);
+        fixture.list("127.0.0.1:" + listener.getLocalPort());
+        silentServers.add(listener);
+        ScriptedPeer.daemon(() -> {
+            while (true) {
+                silentServers.add(listener.accept());
+            }
+        });
+    }
+
+    private String shortRequest() {
+        return fixture.request("lookup", TIMEOUT_MS, "").replace("\r\n\r\n", "\r\nShort: 1\r\n\r\n");
+    }
+
+    /** Sends short requests for a while; each has to get its response in time. */
+    private void assertOthersAreAnswered() throws Exception {
+        int answered = 0;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WATCHED_SECONDS);
+        Socket socket = agent.dial();
+        while (System.nanoTime() < end) {
+            String request = shortRequest();
+            long startNanos = System.nanoTime();
+            socket.setSoTimeout(2 * (TIMEOUT_MS + LATE_MS));
+            ScriptedPeer.Message response = AgentFixture.exchange(socket, request);
+            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            assertTrue(elapsedMs <= TIMEOUT_MS + LATE_MS, "answered after " + elapsedMs + " ms");
+            assertTrue(FINAL_STATUSES.contains(response.status()), "status " + response.status());
+            answered += response.status() == 200 ? 1 : 0;
+            if ("close".equals(response.header("Connection"))) {
+                socket.close();
+                socket = agent.dial();
+            }
+            Thread.sleep(20);
+        }
+        assertTrue(answered > 0, "none was served");
+        assertFalse(agent.log().contains("OutOfMemory"), agent.log());
+    }
+
+    /** Guards against an event loop that waits for memory while clients read long responses slowly. */
+    @ParameterizedTest
+    @ValueSource(ints = {200_000, 12 * MIB})
+    void slowReadersOfStreamedResponsesDoNotStopTheAgent(int bytes) throws Exception {
+        serveBodies(bytes);
+        startAgent();
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            ScriptedPeer.write(agent.dialWithSmallReceiveBuffer(), fixture.request("lookup", 8_000, ""));
+        }
+        assertOthersAreAnswered();
+    }
+
+    /** Guards against memory exhausted by clients that do not read responses that are held whole. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, LARGEST_WHOLE_BODY})
+    void clientsThatDoNotReadWholeResponsesDoNotStopTheAgent(int bytes) throws Exception {
+        serveBodies(bytes);
+        startAgent();
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            Socket client = agent.dialWithSmallReceiveBuffer();
+            StringBuilder pipelined = new StringBuilder();
+            for (int j = 0; j < 60; j++) {
+                pipelined.append(fixture.request("lookup", 8_000, ""));
+            }
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, pipelined.toString()));
+        }
+        assertOthersAreAnswered();
+    }
+
+    /** Guards against memory exhausted by requests whose servers do not read them. */
+    @ParameterizedTest
+    @CsvSource({"60000,300", "8000000,300", "8000000,40"})
+    void serversThatDoNotReadRequestsDoNotStopTheAgent(int bytes, int uploads) throws Exception {
+        serveBodies(100);
+        for (int i = 0; i < 8; i++) {
+            listSilentServer();
+        }
+        startAgent();
+        for (int i = 0; i < uploads; i++) {
+            Socket client = agent.dial();
+            String head = fixture.request("order", 8_000, "").replace("Length: 0", "Length: " + bytes);
+            ScriptedPeer.daemon(() -> {
+                ScriptedPeer.write(client, head);
+                client.getOutputStream().write(new byte[bytes]);
+            });
+        }
+        assertOthersAreAnswered();
+    }
+
+    /** Guards against memory exhausted by requests that clients send in part. */
+    @ParameterizedTest
+    @ValueSource(strings = {"head", "body", "long body"})
+    void halfSentRequestsDoNotStopTheAgent(String part) throws Exception {
+        serveBodies(100);
+        startAgent();
+        String request =
+                switch (part) {
+                    case "head" -> "GET /lookup HTTP/1.1\r\nHost: a\r\nFiller: " + "x".repeat(7_000);
+                    case "body" -> fixture.request("order", 8_000, "x".repeat(60_000));
+                    default -> fixture.request("order", 8_000, "x".repeat(2_000_000));
+                };
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            Socket client = agent.dial();
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, request.substring(0, request.length() - 10)));
+        }
+        assertOthersAreAnswered();
+    }
+
+    /** Guards against memory exhausted by servers that never finish their responses. */
+    @ParameterizedTest
+    @ValueSource(ints = {LARGEST_WHOLE_BODY, MIB})
+    void serversThatStopInTheMiddleOfResponsesDoNotStopTheAgent(int bytes) throws Exception {
+        for (int i = 0; i < 8; i++) {
+            fixture.server((message, socket) -> {
+                if (message.header("Short") != null) {
+                    ScriptedPeer.respond(socket, 200, "", "served");
+                    return;
+                }
+                ScriptedPeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n");
+                socket.getOutputStream().write(new byte[bytes - 10]);
+            });
+        }
+        startAgent();
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            ScriptedPeer.write(agent.dial(), fixture.request("lookup", 8_000, ""));
+        }
+        assertOthersAreAnswered();
+    }
+}
--- a/src/test/java/gatefront/agent/ThriftAgentFixture.java
+++ b/src/test/java/gatefront/agent/ThriftAgentFixture.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Returns the port of all nodos. */
+    int port() {
+        return port;
+    }
+
     static TProtocol protocol(ThriftEncoding encoding, TTransport transport) {
         return encoding == ThriftEncoding.COMPACT
                 ? new TCompactProtocol(transport)
--- a/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
+++ b/src/test/java/gatefront/http/HeldLoopUpstreamTest.java
@@ -122,17 +122,19 @@
 
             @Override
             public void onResponseStreaming(Payload response) {
-                ((HttpUpstream.ServedResponse) response).bodyStream().attach(new DiscardingConsumer());
+                BodyStream body = ((HttpUpstream.ServedResponse) response).bodyStream();
+                body.attach(new DiscardingConsumer(body));
             }
         });
     }
 
     /** Reads a streamed body to its end. */
-    private static final class DiscardingConsumer implements BodyStream.Consumer {
+    private record DiscardingConsumer(BodyStream body) implements BodyStream.Consumer {
         @Override
-        public boolean onChunk(ByteBuf chunk) {
+        public void onChunk(ByteBuf chunk) {
+            int bytes = chunk.readableBytes();
             chunk.release();
-            return true;
+            body.chunkWritten(bytes);
         }
 
         @Override
