Unread responses have a default cap, and from twice of it the slowest reader is closed

What callers could see: clients that do not read their answers of up to 64 KB made the agent run out of memory; new calls were refused only from 29 MB of them on, with a heap of 32 MB, and what was in progress then added to it.

Cause: the account of answers had no cap by default, and nothing bounded what requests taken before the cap still bring. A response also counts its head.

Measured: MemoryTest.slowestReaderIsClosedWhileUnreadResponsesExceedTwiceTheirCap failed before (the connection stayed for 20 s), passes now; the other tests of MemoryTest pass unchanged.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -67,6 +67,8 @@
 
     /** Request bodies, and partial responses, may each take the memory budget divided by this. */
     private static final int BODY_HEAP_DIVISOR = 6;
+    /** Responses that clients have not read may take the memory budget divided by this. */
+    private static final int RESPONSE_HEAP_DIVISOR = 8;
     /**
      * Default cap on requests held, per connection: a protocol with pipelining lets several of one connection wait.
      */
@@ -255,6 +257,7 @@
         caps.put(ResourcePurpose.SERVER_CONNECTIONS, new ResourceBudget.Cap(connections, -1));
         caps.put(ResourcePurpose.REQUESTS, new ResourceBudget.Cap(-1, memory / BODY_HEAP_DIVISOR));
         caps.put(ResourcePurpose.SERVER_ANSWERS, new ResourceBudget.Cap(-1, memory / BODY_HEAP_DIVISOR));
+        caps.put(ResourcePurpose.ANSWERS, new ResourceBudget.Cap(-1, memory / RESPONSE_HEAP_DIVISOR));
         caps.put(
                 ResourcePurpose.CALLS,
                 new ResourceBudget.Cap(Math.max(MIN_CALLS_CAP, CALLS_PER_CONNECTION * connections), -1));
--- a/src/main/java/gatefront/budget/ResourcePurpose.java
+++ b/src/main/java/gatefront/budget/ResourcePurpose.java
@@ -13,7 +13,10 @@
     REQUESTS,
     /** Accepted requests in progress, with their timers and names. At the cap, refused with Retry-After. */
     CALLS,
-    /** Responses that clients have not read yet. At the cap, new requests are refused with Retry-After. */
+    /**
+     * Responses that clients have not read yet. At the cap, new requests are refused with Retry-After; at twice the cap,
+     * the connections of the slowest readers are closed.
+     */
     ANSWERS,
     /** Connections to servers. At the cap, the one idle longest is closed; if none is idle, the attempt is not sent. */
     SERVER_CONNECTIONS,
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -75,6 +76,11 @@
      */
     private static final double PRESSURE_FRACTION = 0.6;
 
+    /** Slow readers are closed from this multiple of the cap on unread responses. */
+    private static final int MAX_RESPONSE_OVERCOMMIT = 2;
+    /** What a response holds besides its body: its head and the buffers' own objects. */
+    private static final int RESPONSE_OVERHEAD_BYTES = 256;
+
     /** Bounds the input that is read at once from a client that keeps sending what is not wanted yet. */
     private static final int MAX_READS_AHEAD = 16;
 
@@ -110,12 +116,16 @@
     private final ResourceAccount responseAccount;
     /** Window of the request bodies that are streamed to servers. */
     private final StreamWindow requestWindow;
+    /** Connections with responses that are not written yet; the one that has written nothing for longest is first. */
+    private final Set<Connection> slowReaders = new LinkedHashSet<>();
     /** Knows since when connections may have waited to be accepted. */
     private final AcceptQueue acceptQueue;
     /** Counts while connections or resources are scarce; the silence of new connections is measured by it. */
     private final ActiveTime activeTime = new ActiveTime(MAX_ACTIVE_TIME_GAP_NANOS);
 
     private boolean evictionScheduled;
+    /** Whether slow readers are about to be closed. */
+    private boolean slowReaderCheckScheduled;
     /** Whether accepting has failed and is about to be tried again. */
     private boolean acceptRetryPending;
 
@@ -352,6 +362,7 @@
         expired(State.WRITING_LAST_RESPONSE, LAST_WRITE_TIMEOUT_NANOS)
                 .forEach(connection -> connection.close("timeout of writing the last response"));
         expired(State.LINGERING, LINGER_NANOS).forEach(connection -> connection.close("the client has lingered"));
+        closeSlowReaders();
         enforceConnectionLimit();
     }
 
@@ -361,6 +372,22 @@
                 || budget.pressure() != ResourceBudget.Pressure.NONE;
     }
 
+    /**
+     * Closes the connections of the slowest readers while their responses hold far more than they may together. At the
+     * cap no further request is taken, but those in progress still get their responses.
+     */
+    private void closeSlowReaders() {
+        slowReaderCheckScheduled = false;
+        Iterator<Connection> slowest = List.copyOf(slowReaders).iterator();
+        while (exceedsResponseLimit() && slowest.hasNext()) {
+            slowest.next().close("the slowest reader, while too many responses are unread");
+        }
+    }
+
+    private boolean exceedsResponseLimit() {
+        return responseAccount.bytes() / MAX_RESPONSE_OVERCOMMIT > responseAccount.bytesCap();
+    }
+
     private List<Connection> expired(State state, long timeoutNanos) {
         long sinceNanos = transport.nanos() - timeoutNanos;
         return connectionsByState.get(state).stream()
@@ -458,15 +485,33 @@
          * Writes a response or a part of one, whose bytes count as held until they have been written.
          *
          * @param message the message to write
-         * @param bytes number of bytes of its body
+         * @param bodyBytes number of bytes of its body
          */
-        protected final ChannelFuture writeResponse(Object message, int bytes) {
+        protected final ChannelFuture writeResponse(Object message, int bodyBytes) {
+            long bytes = bodyBytes + RESPONSE_OVERHEAD_BYTES;
             responseAccount.add(1, bytes);
-            unwrittenBytes += bytes;
-            return channel.writeAndFlush(message).addListener(done -> {
+            ChannelFuture written = channel.writeAndFlush(message);
+            if (written.isDone()) {
                 responseAccount.release(bytes);
-                unwrittenBytes -= bytes;
-            });
+                return written;
+            }
+            unwrittenBytes += bytes;
+            slowReaders.add(this);
+            if (exceedsResponseLimit() && !slowReaderCheckScheduled) {
+                slowReaderCheckScheduled = true;
+                // As a task, and not while a channel is being read: closing reads from other channels.
+                transport.loop().execute(AbstractFrontend.this::closeSlowReaders);
+            }
+            return written.addListener(done -> responseWritten(bytes));
+        }
+
+        private void responseWritten(long bytes) {
+            responseAccount.release(bytes);
+            unwrittenBytes -= bytes;
+            slowReaders.remove(this);
+            if (unwrittenBytes > 0) {
+                slowReaders.add(this); // behind those that have written nothing meanwhile
+            }
         }
 
         /**
--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -154,6 +154,32 @@
         assertTrue(account(ResourcePurpose.SERVER_ANSWERS).get("turned_away").asLong() > 0);
     }
 
+    /** Guards against memory exhausted by the responses of requests that were taken before the cap was reached. */
+    @Test
+    void slowestReaderIsClosedWhileUnreadResponsesExceedTwiceTheirCap() throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "x".repeat(60_000)));
+        start(capTable(ResourcePurpose.ANSWERS, "kib = 1000"));
+        Socket client = fixture.dial();
+        // One after another: the read timeout would end a connection with part of a request.
+        while (account(ResourcePurpose.ANSWERS).get("bytes").asLong() == 0) {
+            int received = fixture.requestsReceived();
+            ScriptedPeer.write(client, fixture.request("lookup", 8_000, ""));
+            AgentFixture.await(() -> fixture.requestsReceived() > received);
+            Thread.sleep(5);
+        }
+        ResourceBudget budget = fixture.agent.budget();
+        budget.account(ResourcePurpose.ANSWERS).add(0, 1_900_000);
+        Thread.sleep(500);
+        assertEquals(
+                1,
+                account(ResourcePurpose.CALLER_CONNECTIONS).get("entries").asLong(),
+                "under twice the cap no connection is closed");
+        budget.account(ResourcePurpose.ANSWERS).add(0, 200_000);
+        awaitEmpty(ResourcePurpose.CALLER_CONNECTIONS);
+        budget.account(ResourcePurpose.ANSWERS).add(0, -2_100_000);
+        awaitEmpty(ResourcePurpose.ANSWERS);
+    }
+
     /** Responses that a client never reads are counted, and new calls are refused while they exceed the cap. */
     @Test
     void unreadResponsesCauseNewCallsToBeRefused() throws Exception {
