Thrift calls and replies that have come in part are counted and bounded

What callers could see: clients or servers that stop in the middle of a Thrift message of 64 KB filled the memory; no account showed them.

Cause: the bytes of an incomplete message stay in the decoder, where neither the account of requests nor that of server answers saw them. Change: the front reserves what its decoder holds after each read, and reads no further where there is no memory; so does the upstream, whose attempt then fails.

--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -166,6 +166,8 @@
         private final Map<Integer, Exchange> inFlight = new LinkedHashMap<>();
 
         private final Deque<QueuedCall> queued = new ArrayDeque<>();
+        /** Reserved bytes of a call that is not yet complete. */
+        private int partialBytes;
         /** Whether reading was stopped early (malformed input, no memory, timeout), so that unread input may remain. */
         private boolean mayHaveUnreadInput;
 
@@ -184,6 +186,7 @@
                 return;
             }
             ThriftMessage call = (ThriftMessage) read;
+            releasePartial();
             if (!reserve(call.body().length)) {
                 stopReading(); // without a memory reservation the request cannot even be queued
                 return;
@@ -197,12 +200,32 @@
         /** Processes what was read. Not earlier: that may read from the channel again, which decoders do not allow. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            reservePartial();
             processQueued();
             if ((state() == State.NEW || state() == State.KEEP_ALIVE) && decoder.hasPartialMessage()) {
                 transitionTo(State.READING_REQUEST);
             }
         }
 
+        /** Counts what has arrived of an incomplete call; one that there is no memory for is not read on. */
+        private void reservePartial() {
+            releasePartial();
+            if (ignoresInput || !decoder.hasUnreadBytes()) {
+                return;
+            }
+            int bytes = decoder.unreadBytes();
+            if (reserve(bytes)) {
+                partialBytes = bytes;
+            } else {
+                stopReading();
+            }
+        }
+
+        private void releasePartial() {
+            release(partialBytes);
+            partialBytes = 0;
+        }
+
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             processQueued();
--- a/src/main/java/gatefront/thrift/ThriftUpstream.java
+++ b/src/main/java/gatefront/thrift/ThriftUpstream.java
@@ -18,6 +18,7 @@
 import gatefront.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import java.net.InetSocketAddress;
 
@@ -101,6 +102,15 @@
             attempt.end(result(reply, attempt), !decoder.hasUnreadBytes());
             return true;
         }
+
+        /** Counts what has arrived of an incomplete reply; one that there is no memory for fails its attempt. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            release();
+            if (decoder.hasUnreadBytes() && !reserve(decoder.unreadBytes())) {
+                ctx.close();
+            }
+        }
     }
 
     /** Returns whether a reply belongs to the attempt; rejects the reply to another call if a server mixes them up. */
--- a/src/main/java/gatefront/thrift/codec/MessageDecoder.java
+++ b/src/main/java/gatefront/thrift/codec/MessageDecoder.java
@@ -53,6 +53,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns the number of bytes that have been received beyond the messages decoded so far. */
+    public int unreadBytes() {
+        return actualReadableBytes();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (failed) {
--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -3,8 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gatefront.agent.ThriftTestService.Args;
+import gatefront.agent.ThriftTestService.Result;
+import gatefront.thrift.codec.MessageFormat;
+import gatefront.thrift.codec.ThriftEncoding;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +19,12 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TMessageType;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.layered.TFramedTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
@@ -46,6 +57,7 @@
     private Path folder;
 
     private AgentFixture fixture;
+    private ThriftAgentFixture thrift;
     private AgentProcess agent;
     private final List<Closeable> silentServers = new CopyOnWriteArrayList<>();
 
@@ -59,6 +71,9 @@
         if (agent != null) {
             agent.close();
         }
+        if (thrift != null) {
+            thrift.close();
+        }
         fixture.close();
         for (Closeable server : silentServers) {
             server.close();
@@ -69,6 +84,24 @@
         agent = new AgentProcess(folder, fixture.config, "");
     }
 
+    /** Starts an agent that serves Thrift too, and returns the address where it does. */
+    private InetSocketAddress startThriftAgent(int port) throws IOException {
+        InetSocketAddress listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        agent = new AgentProcess(
+                folder,
+                thrift.config,
+                "[thrift]\nlisten = \"127.0.0.1:" + listen.getPort() + "\"\nframing = \"any\"\nprotocol = \"any\"\n"
+                        + "nodo_port = " + port + "\nnodo_framed = true\nprobes = \"thrift\"\n"
+                        + "[[thrift.methods]]\nname = \"lookup\"\nclass = \"lookup\"\ndeclares = true\n");
+        return listen;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     /** Answers short requests at once and all others with a body of the given size, as fast as it is taken. */
     private void serveBodies(int bytes) throws IOException {
         byte[] piece = new byte[Math.min(bytes, 64 << 10)];
@@ -216,4 +249,71 @@
         }
         assertOthersAreAnswered();
     }
+
+    private static byte[] frame(int seqid, Args args) throws Exception {
+        TMemoryBuffer buffer = new TMemoryBuffer(1 << 10);
+        TFramedTransport framed = new TFramedTransport(buffer);
+        TBinaryProtocol out = new TBinaryProtocol(framed);
+        out.writeMessageBegin(new TMessage("lookup", TMessageType.CALL, seqid));
+        args.write(out);
+        out.writeMessageEnd();
+        framed.flush();
+        byte[] bytes = new byte[buffer.length()];
+        buffer.read(bytes, 0, bytes.length);
+        return bytes;
+    }
+
+    private static String served(InetSocketAddress listen, String id) throws Exception {
+        try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+            socket.setSoTimeout(2 * (TIMEOUT_MS + LATE_MS));
+            ThriftTestService.Client client =
+                    new ThriftTestService.Client(new TBinaryProtocol(new TFramedTransport(new TSocket(socket))));
+            Result result = client.call("lookup", new Args(id, TIMEOUT_MS, null, "short"));
+            return result.success == null ? "refused" : result.success;
+        }
+    }
+
+    /** Guards against memory exhausted by Thrift clients that call without reading, or stop in mid-call. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void thriftClientsThatDoNotReadOrStopInMidCallDoNotStopTheAgent(boolean wholeCalls) throws Exception {
+        thrift = new ThriftAgentFixture(new MessageFormat(true, ThriftEncoding.BINARY));
+        String large = "x".repeat(LARGEST_WHOLE_BODY);
+        for (int i = 0; i < 4; i++) {
+            thrift.server((name, args) -> {
+                Result result = new Result();
+                result.success = args.text.equals("short") ? "served" : large;
+                return result;
+            });
+        }
+        InetSocketAddress listen = startThriftAgent(thrift.port());
+        for (int i = 0; i < 200; i++) {
+            Socket client = new Socket();
+            client.setReceiveBufferSize(4 << 10);
+            client.connect(listen);
+            thrift.sockets.add(client);
+            int number = i;
+            ScriptedPeer.daemon(() -> {
+                OutputStream out = client.getOutputStream();
+                for (int j = 0; wholeCalls && j < 40; j++) {
+                    out.write(frame(j, new Args("slow-" + number + "-" + j, 8_000, null, "long")));
+                }
+                if (!wholeCalls) {
+                    byte[] call = frame(1, new Args("half-" + number, 8_000, null, large));
+                    out.write(call, 0, call.length - 10);
+                }
+                out.flush();
+            });
+        }
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WATCHED_SECONDS);
+        int served = 0;
+        for (int i = 0; System.nanoTime() < end; i++) {
+            long startNanos = System.nanoTime();
+            served += served(listen, "short-" + i).equals("served") ? 1 : 0;
+            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            assertTrue(elapsedMs <= TIMEOUT_MS + LATE_MS, "answered after " + elapsedMs + " ms");
+            Thread.sleep(20);
+        }
+        assertTrue(served > 0, "none was served");
+    }
 }
--- a/src/test/java/gatefront/agent/ThriftAgentTest.java
+++ b/src/test/java/gatefront/agent/ThriftAgentTest.java
@@ -10,9 +10,11 @@
 import gatefront.agent.ThriftTestService.Client;
 import gatefront.agent.ThriftTestService.Processor;
 import gatefront.agent.ThriftTestService.Result;
+import gatefront.budget.ResourcePurpose;
 import gatefront.thrift.codec.MessageFormat;
 import gatefront.thrift.codec.ThriftEncoding;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TMessage;
 import org.apache.thrift.protocol.TMessageType;
@@ -464,4 +467,57 @@
             assertEquals(1, nodo.calls.get());
         }
     }
+
+    private static byte[] message(MessageFormat format, String name, byte type, int seqid, TBase<?, ?> body)
+            throws TException {
+        TMemoryBuffer buffer = new TMemoryBuffer(1 << 10);
+        TTransport transport = format.framed() ? new TFramedTransport(buffer) : buffer;
+        TProtocol out = ThriftAgentFixture.protocol(format.encoding(), transport);
+        out.writeMessageBegin(new TMessage(name, type, seqid));
+        body.write(out);
+        out.writeMessageEnd();
+        transport.flush();
+        return Arrays.copyOf(buffer.getArray(), buffer.length());
+    }
+
+    private static void awaitBytes(ThriftAgentFixture fixture, ResourcePurpose purpose, long least, long most) {
+        AgentFixture.await(() -> {
+            long bytes = fixture.agent.budget().account(purpose).bytes();
+            return bytes >= least && bytes <= most;
+        });
+    }
+
+    /** Guards against memory exhausted by calls that clients send in part, which no account contained. */
+    @ParameterizedTest
+    @MethodSource("formats")
+    void callReceivedInPartIsCountedUntilItsConnectionEnds(MessageFormat format) throws Exception {
+        try (ThriftAgentFixture fixture = new ThriftAgentFixture(format)) {
+            fixture.server((method, args) -> served("done"));
+            fixture.start();
+            byte[] call = message(format, "order", TMessageType.CALL, 1, args("order", 8_000, "x".repeat(50_000)));
+            Socket client = fixture.dial();
+            client.getOutputStream().write(call, 0, 40_000);
+            awaitBytes(fixture, ResourcePurpose.REQUESTS, 39_990, 40_000);
+            client.close();
+            awaitBytes(fixture, ResourcePurpose.REQUESTS, 0, 0);
+        }
+    }
+
+    /** Guards against memory exhausted by replies that servers send in part, which no account contained. */
+    @ParameterizedTest
+    @MethodSource("formats")
+    void replyReceivedInPartIsCountedUntilItsAttemptEnds(MessageFormat format) throws Exception {
+        try (ThriftAgentFixture fixture = new ThriftAgentFixture(format)) {
+            byte[] reply = message(format, "order", TMessageType.REPLY, 1, served("x".repeat(50_000)));
+            fixture.rawServer(socket -> {
+                socket.getInputStream().read();
+                socket.getOutputStream().write(reply, 0, 40_000);
+            });
+            Client client = fixture.start().client();
+            client.send("order", args("order", 1_500, ""));
+            awaitBytes(fixture, ResourcePurpose.SERVER_ANSWERS, 39_990, 40_000);
+            assertNotNull(client.receive("order").failed);
+            awaitBytes(fixture, ResourcePurpose.SERVER_ANSWERS, 0, 0);
+        }
+    }
 }
