A response that stops in the middle makes room for those of other servers

What callers could see: with 90 answers of servers that stop in the middle, the account of server answers is full, and every other answer, of whatever size, fails its attempt; an unsafe request is answered 502 although its server has served it, and the server is blamed.

Cause: at the cap the attempt ended whose response was arriving. Change: the attempts end whose responses have received nothing for longest; only a response that is alone too large still ends its own. A slow peer costs its own connection.

Measured: MemoryTest.responseOfASilentServerIsGivenUpForOneThatArrives failed before (502 in place of 200), passes now, with BadServersTest and the tests of the upstream.

--- a/src/main/java/gatefront/budget/ResourcePurpose.java
+++ b/src/main/java/gatefront/budget/ResourcePurpose.java
@@ -20,7 +20,7 @@
     ANSWERS,
     /** Connections to servers. At the cap, the one idle longest is closed; if none is idle, the attempt is not sent. */
     SERVER_CONNECTIONS,
-    /** Responses of servers as far as received. At the cap, the connection is closed and the attempt fails. */
+    /** Responses of servers as far as received. At the cap, the attempt fails whose response is silent for longest. */
     SERVER_ANSWERS,
     /** Connection pools, names and policy state of each listed server. At the cap, further servers are not added. */
     SERVERS,
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -76,6 +76,8 @@
     private int attemptCount;
     private final ResourceAccount connectionAccount;
     private final ResourceAccount responseAccount;
+    /** Readers of incomplete responses that are held; the one that has received nothing for longest is first. */
+    private final Set<Reader> partialResponses = new LinkedHashSet<>();
     /** Window of the responses that are streamed to clients. */
     private final StreamWindow responseWindow;
 
@@ -651,20 +653,45 @@
         }
 
         /**
-         * Reserves bytes for an incomplete response; returns false, and reserves nothing, if the budget is exhausted.
+         * Reserves bytes for an incomplete response. If the budget is exhausted, the attempts end whose responses have
+         * been silent for longest; returns false, and reserves nothing, if there are none but this one.
          */
         protected final boolean reserve(int bytes) {
-            if (!responseAccount.tryGrow(bytes)) {
-                return false;
+            while (!responseAccount.tryGrow(bytes)) {
+                Reader slowest = slowestOther();
+                if (slowest == null) {
+                    return false;
+                }
+                slowest.discard();
             }
             partialBytes += bytes;
+            partialResponses.remove(this);
+            partialResponses.add(this); // behind those that have received nothing meanwhile
             return true;
         }
 
+        private Reader slowestOther() {
+            for (Reader reader : partialResponses) {
+                if (reader != this) {
+                    return reader;
+                }
+            }
+            return null;
+        }
+
+        private void discard() {
+            traceConnection(connection.channel, "its response is discarded, others need the memory");
+            release();
+            if (connection.attempt != null) {
+                connection.attempt.connectionLost();
+            }
+        }
+
         /** Releases the reserved bytes: the response was handed over or discarded. */
         protected final void release() {
             responseAccount.shrink(partialBytes);
             partialBytes = 0;
+            partialResponses.remove(this);
         }
 
         /** Returns the window of a response that is streamed to its client. */
--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -154,6 +154,26 @@
         assertTrue(account(ResourcePurpose.SERVER_ANSWERS).get("turned_away").asLong() > 0);
     }
 
+    /** Guards against a server that stops in the middle of a response making those of other servers fail. */
+    @Test
+    void responseOfASilentServerIsGivenUpForOneThatArrives() throws Exception {
+        fixture.server((message, socket) -> {
+            boolean stops = message.text().equals("stop");
+            ScriptedPeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(50_000));
+            if (!stops) {
+                ScriptedPeer.write(socket, "x".repeat(10_000));
+            }
+        });
+        start(capTable(ResourcePurpose.SERVER_ANSWERS, "kib = 100"));
+        CompletableFuture<ScriptedPeer.Message> stopped =
+                callConcurrently(1, "order", "stop").get(0);
+        AgentFixture.await(
+                () -> account(ResourcePurpose.SERVER_ANSWERS).get("bytes").asLong() == 50_000);
+        assertEquals(200, fixture.call("order").status());
+        assertEquals(502, stopped.get().status());
+        awaitEmpty(ResourcePurpose.SERVER_ANSWERS);
+    }
+
     /** Guards against memory exhausted by the responses of requests that were taken before the cap was reached. */
     @Test
     void slowestReaderIsClosedWhileUnreadResponsesExceedTwiceTheirCap() throws Exception {
