A request is judged by the configuration that it began to arrive under

Cause: a request carried only the number of its class. The module looked its settings up when the request was whole, and took attempts, permits and prices from whatever was in force at each decision; the HTTP front read the class when the head was whole, Thrift's only ever knew the settings of the start, and checked a queued call when its turn came.

Change: the fronts note the configuration when the first byte of a request arrives. It travels with the request (RequestTerms) through queues, held events and attempts, and the module judges all of the request by it: effect, scope, window, attempts, permits, prices. Thrift's front takes new settings for calls that begin later, and answers calls of dropped classes as unknown.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -101,6 +101,8 @@
     private final MembershipSources membershipSources;
 
     private final HttpFrontend httpFrontend;
+    /** Serves Thrift; null if it is not configured. */
+    private final ThriftFrontend thriftFrontend;
     /** Serves the management endpoint; null if it is not configured. */
     private final OperatorControls operatorControls;
     /** Writes the usage of each municipio to the ledger; null if there is no ledger. */
@@ -212,15 +214,18 @@
         httpFrontend = new HttpFrontend(
                 transport, config, connectionLimit, this::ready, budget, engine.listenerFor(httpUpstream));
         frontends.add(httpFrontend);
-        if (thrift != null) {
-            frontends.add(new ThriftFrontend(
-                    transport,
-                    config,
-                    thrift,
-                    connectionLimit,
-                    this::ready,
-                    budget,
-                    engine.listenerFor(thriftUpstream)));
+        thriftFrontend = thrift == null
+                ? null
+                : new ThriftFrontend(
+                        transport,
+                        config,
+                        thrift,
+                        connectionLimit,
+                        this::ready,
+                        budget,
+                        engine.listenerFor(thriftUpstream));
+        if (thriftFrontend != null) {
+            frontends.add(thriftFrontend);
         }
         operatorControls = config.management() == null ? null : createOperatorControls(this, handover);
     }
@@ -637,6 +642,9 @@
                     if (!changed.settingsJson().equals(config.settingsJson())) {
                         engine.updateSettings(changed.settings());
                         httpFrontend.updateConfig(changed);
+                        if (thriftFrontend != null) {
+                            thriftFrontend.updateConfig(changed);
+                        }
                     }
                     config = changed;
                     if (stateRecovery != null) {
--- a/src/main/java/gatefront/config/Config.java
+++ b/src/main/java/gatefront/config/Config.java
@@ -138,6 +138,11 @@
                 settings);
     }
 
+    /** Returns whether the request class of this index is in force, and was not removed by a reload. */
+    public boolean hasClass(int index) {
+        return !removedClasses.contains(classes.get(index));
+    }
+
     /** Returns the index of the request class of this name, or a negative number. */
     public int classIndex(String name) {
         return removedClasses.contains(name) ? -1 : classes.indexOf(name);
--- a/src/main/java/gatefront/engine/ClientRequest.java
+++ b/src/main/java/gatefront/engine/ClientRequest.java
@@ -1,8 +1,11 @@
 package gatefront.engine;
 
+import gatefront.policy.Balancer;
+
 /**
- * A client's request without anything specific to its protocol; class and tenant are indexes into the settings.
+ * A client's request without anything specific to its protocol; class and tenant are indexes into its terms.
  *
+ * @param terms the configuration that it began to arrive under
  * @param id chosen by the client; only one request with an id is in progress at a time, across all protocols
  * @param requestClass index of the request class
  * @param tenant index of the tenant
@@ -13,6 +16,7 @@
  * @param payload the content to send to the server
  */
 public record ClientRequest(
+        RequestTerms terms,
         String id,
         int requestClass,
         int tenant,
@@ -23,6 +27,27 @@
         Payload payload) {
     private static final int MAX_ID_LENGTH = 128;
 
+    /** Returns the settings of its class. */
+    public Balancer.RequestClass classSettings() {
+        return terms.settings().classes().get(requestClass);
+    }
+
+    /** Returns the name of its class. */
+    public String className() {
+        return terms.classes().get(requestClass);
+    }
+
+    /** Returns the name of its tenant; empty if requests have none. */
+    public String tenantName() {
+        return terms.tenants().isEmpty() ? "" : terms.tenants().get(tenant);
+    }
+
+    /** Returns the same request with another content. */
+    public ClientRequest withPayload(Payload newPayload) {
+        return new ClientRequest(
+                terms, id, requestClass, tenant, affinityKey, costHint, timeoutMs, clientRetry, newPayload);
+    }
+
     /**
      * Returns whether {@code text} is a valid id or key: ASCII letters, digits and {@code - _ . :}, up to 128 in all.
      */
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -158,7 +158,10 @@
         return anchorMicros + transport.nanos() / 1000;
     }
 
-    /** Applies changed settings; see {@link Balancer#settings}. Requests in progress keep the former ones. */
+    /**
+     * Applies changed settings; see {@link Balancer#settings}. Requests that have begun keep the former ones, which
+     * their {@link RequestTerms} carry.
+     */
     public void updateSettings(Balancer.Settings newSettings) {
         int classes = Math.max(counters.classCount(), newSettings.classes().size());
         counters.grow(classes);
@@ -429,7 +432,7 @@
                 false);
         dispatch(pending, () -> {
             if (!pending.answered) { // the deadline may have passed while the event was deferred
-                balancer.request(now(), balancerRequest);
+                balancer.request(now(), balancerRequest, request.terms().settings());
             }
         });
     }
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -8,6 +8,7 @@
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Engine;
 import gatefront.engine.Payload;
+import gatefront.engine.RequestTerms;
 import gatefront.http.HttpUpstream.OutgoingRequest;
 import gatefront.http.HttpUpstream.ServedResponse;
 import gatefront.http.codec.StrictHttpDecoders;
@@ -120,7 +121,7 @@
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new ClientConnection(channel, decoder));
     }
 
-    /** Parses requests whose heads arrive from now on by this configuration. */
+    /** Judges requests that begin to arrive from now on by this configuration. */
     public void updateConfig(Config newConfig) {
         config = newConfig;
     }
@@ -275,6 +276,10 @@
         private Exchange current;
         /** The request whose body is being received; null for a health check. */
         private ClientRequest incomingRequest;
+        /** The configuration in force when the head that is being received began, or null while there is none. */
+        private Config incomingConfig;
+        /** Whether a head has been received whose body is not complete. */
+        private boolean receivesBody;
 
         private boolean keepAlive;
         /** The part of the body received so far, while it is not streamed. */
@@ -366,8 +371,12 @@
                 return;
             }
             if (message instanceof HttpRequest head) {
+                receivesBody = true;
                 beginRequest(head);
             }
+            if (message instanceof LastHttpContent) {
+                receivesBody = false;
+            }
             if (message instanceof HttpContent content && !ignoresInput) {
                 addBody(content.content());
             }
@@ -391,6 +400,9 @@
                 completedUpload = null;
                 complete.complete();
             }
+            if (incomingConfig == null && decoder.isRequestStarted() && !receivesBody) {
+                incomingConfig = config;
+            }
             processNext();
             if ((state() == State.NEW || state() == State.KEEP_ALIVE) && decoder.isRequestStarted()) {
                 transitionTo(State.READING_REQUEST);
@@ -403,12 +415,14 @@
         }
 
         private void beginRequest(HttpRequest head) {
+            Config begunUnder = incomingConfig == null ? config : incomingConfig;
+            incomingConfig = null;
             keepAlive = HttpUtil.isKeepAlive(head);
             incomingRequest = null;
             bodyFraming = StrictHttpDecoders.framing(head.headers());
             HttpResponseStatus error = framingError(head, bodyFraming);
             if (error == null && !isHealthCheck(head)) {
-                incomingRequest = parse(head);
+                incomingRequest = parse(head, begunUnder);
                 error = incomingRequest == null ? HttpResponseStatus.BAD_REQUEST : null;
             }
             if (error != null) {
@@ -625,35 +639,14 @@
     }
 
     private static ClientRequest withBody(ClientRequest request, byte[] body) {
-        OutgoingRequest payload = (OutgoingRequest) request.payload();
-        return new ClientRequest(
-                request.id(),
-                request.requestClass(),
-                request.tenant(),
-                request.affinityKey(),
-                request.costHint(),
-                request.timeoutMs(),
-                request.clientRetry(),
-                new OutgoingRequest(payload.method(), payload.uri(), payload.headers(), body));
+        OutgoingRequest head = (OutgoingRequest) request.payload();
+        return request.withPayload(new OutgoingRequest(head.method(), head.uri(), head.headers(), body));
     }
 
     private static ClientRequest withBody(ClientRequest request, BodyStream body, long length) {
-        OutgoingRequest payload = (OutgoingRequest) request.payload();
-        return new ClientRequest(
-                request.id(),
-                request.requestClass(),
-                request.tenant(),
-                request.affinityKey(),
-                request.costHint(),
-                request.timeoutMs(),
-                request.clientRetry(),
-                new OutgoingRequest(
-                        payload.method(),
-                        payload.uri(),
-                        payload.headers(),
-                        HttpUpstream.NO_BODY,
-                        body,
-                        Math.max(-1, length)));
+        OutgoingRequest head = (OutgoingRequest) request.payload();
+        return request.withPayload(new OutgoingRequest(
+                head.method(), head.uri(), head.headers(), HttpUpstream.NO_BODY, body, Math.max(-1, length)));
     }
 
     private static byte[] bodyOf(ClientRequest request) {
@@ -688,11 +681,19 @@
         return length == StrictHttpDecoders.NO_LENGTH ? HttpResponseStatus.LENGTH_REQUIRED : null;
     }
 
+    /** Parses a request as one that begins now; see {@link #parse(HttpRequest, Config)}. */
+    public ClientRequest parse(HttpRequest request) {
+        return parse(request, config);
+    }
+
     /**
      * Parses a request; returns null if it does not follow the protocol. Guards against forwarding what a server would
      * reject, or would respond to by closing a connection that other requests wait for.
+     *
+     * @param request the head of the request
+     * @param config the configuration that was in force when the head began
      */
-    public ClientRequest parse(HttpRequest request) {
+    private static ClientRequest parse(HttpRequest request, Config config) {
         HttpHeaders headers = request.headers();
         String uri = request.uri();
         if (!isVisibleAscii(uri, '!') || !uri.startsWith("/")) {
@@ -750,6 +751,7 @@
         }
         String affinityKey = headers.get(AFFINITY_KEY, "");
         return new ClientRequest(
+                new RequestTerms(config.settings(), config.classes(), config.tenants()),
                 id,
                 requestClass,
                 Math.max(0, tenant),
--- a/src/main/java/gatefront/policy/AdaptiveBalancer.java
+++ b/src/main/java/gatefront/policy/AdaptiveBalancer.java
@@ -326,11 +326,16 @@
 
     @Override
     public void request(long now, Request request) {
+        request(now, request, settings);
+    }
+
+    @Override
+    public void request(long now, Request request, Settings begunUnder) {
         ClassState state = classes.get(request.requestClass());
-        RequestClass requestClass = state.requestClass;
+        RequestClass requestClass = begunUnder.classes().get(request.requestClass());
         long aim = requestClass.aim() + (long) (requestClass.aimStretch() * request.cost());
         Long firstTryAt = request.cost() == 0 ? null : unservedArrivals.remove(fingerprint(request));
-        long elapsed = firstTryAt != null ? now - firstTryAt : timeAlreadySpent(request, state, now);
+        long elapsed = firstTryAt != null ? now - firstTryAt : timeAlreadySpent(request, state, requestClass, now);
         // A request that cannot be served in time would only waste the servers' work. If that is only an estimate,
         // it is still served while there is capacity.
         long latestEnd = request.deadline() - settings.tick();
@@ -343,8 +348,7 @@
         long expiresAt = requestClass.lateShare() > 0
                 ? latestEnd
                 : Math.min(latestEnd, now + (likelyLate && !request.repeated() ? aim : remaining) - settings.tick());
-        PendingRequest req = new PendingRequest(
-                request, state, settings.permits().maxAttempts(), nextToken++, now, now - elapsed, expiresAt);
+        PendingRequest req = new PendingRequest(request, state, begunUnder, nextToken++, now, now - elapsed, expiresAt);
         openRequests.put(request.id(), req);
         requestsByToken.put(req.token, req);
         actions.timer(req.token, Math.max(0, expiresAt - now));
@@ -368,7 +372,7 @@
      * Returns how long the client has already been waiting, in microseconds. All first tries of a class have the same
      * timeout, and a client retry has what is left of it.
      */
-    private long timeAlreadySpent(Request request, ClassState state, long now) {
+    private long timeAlreadySpent(Request request, ClassState state, RequestClass requestClass, long now) {
         long timeout = request.deadline() - now;
         boolean usual = Math.abs(timeout - state.usualTimeout) <= USUAL_TIMEOUT_TOLERANCE_TICKS * settings.tick();
         if (usual) {
@@ -386,7 +390,7 @@
                 || state.usualTimeoutVotes < MAX_USUAL_TIMEOUT_VOTES / 2;
         return request.repeated()
                 ? (long) state.meanUnservedWait
-                : unknown ? 0 : Math.max(0, state.requestClass.giveUp() - timeout);
+                : unknown ? 0 : Math.max(0, requestClass.giveUp() - timeout);
     }
 
     /** Returns a hash of the request's attributes, by which a client retry of it is recognized. */
@@ -400,7 +404,7 @@
 
     /** Sends a request if its earlier attempts permit it and a server has capacity. */
     private boolean dispatch(PendingRequest req, long now) {
-        if (req.attempts.size() >= req.maxAttempts || now >= req.expiresAt || admissionCredit < 1) {
+        if (!req.mayAttemptAgain() || now >= req.expiresAt || admissionCredit < 1) {
             return false;
         }
         ServerState server = pickServer(req, now);
@@ -534,7 +538,7 @@
 
     /** Retries after a failed attempt if it is permitted and the retry budget allows it; else ends the request. */
     private void retryOrReject(PendingRequest req, long now) {
-        boolean worthwhile = !wouldBeLate(req, now) && req.attempts.size() < req.maxAttempts;
+        boolean worthwhile = !wouldBeLate(req, now) && req.mayAttemptAgain();
         if (worthwhile && maySend(req, now) && retryBudget >= 1) {
             retryBudget -= 1;
             dispatchOrQueue(req, now);
@@ -553,7 +557,7 @@
             req.classState.meanUnservedWait += EWMA_WEIGHT * (now - req.arrivedAt - req.classState.meanUnservedWait);
         }
         if (mayRefuse(req)) {
-            actions.refuse(req.request.id(), settings.permits().maxRetryAfter());
+            actions.refuse(req.request.id(), req.settings.permits().maxRetryAfter());
         } else {
             actions.fail(req.request.id());
         }
@@ -566,7 +570,7 @@
             unservedArrivals.clear();
         }
         unservedArrivals.put(fingerprint(req.request), req.firstArrivedAt);
-        for (int i = 0; i < req.attempts.size() && settings.permits().cancel(); i++) {
+        for (int i = 0; i < req.attempts.size() && req.settings.permits().cancel(); i++) {
             if (req.attempts.get(i).outcome == null) {
                 actions.cancel(req.request.id(), i);
             }
@@ -642,7 +646,7 @@
     private boolean maySend(PendingRequest req, long now) {
         Semantics semantics = req.requestClass.semantics();
         boolean otherInFlight =
-                req.attemptsInFlight() > 0 && !(settings.permits().duplicates() && semantics == Semantics.SAFE);
+                req.attemptsInFlight() > 0 && !(req.settings.permits().duplicates() && semantics == Semantics.SAFE);
         if (req.closed || req.streaming || otherInFlight) {
             return false;
         }
@@ -688,8 +692,9 @@
         ServerState best = crossesAtOnce ? pickOfTwo(req, now, true, 0) : null;
         if (best == null) {
             best = pickOfTwo(req, now, true, 1);
-            crossZoneShare -=
-                    best == null ? 0 : CROSS_ZONE_SHARE_STEP * settings.prices().crossing() * crossZoneShare;
+            crossZoneShare -= best == null
+                    ? 0
+                    : CROSS_ZONE_SHARE_STEP * req.settings.prices().crossing() * crossZoneShare;
         }
         if (best != null) {
             return best;
@@ -729,8 +734,8 @@
      * share of its total time that equals the price of crossing.
      */
     private long crossZoneWait(PendingRequest req) {
-        return (long)
-                ((req.expiresAt - req.arrivedAt) * Math.min(1, settings.prices().crossing()));
+        return (long) ((req.expiresAt - req.arrivedAt)
+                * Math.min(1, req.settings.prices().crossing()));
     }
 
     /**
--- a/src/main/java/gatefront/policy/Balancer.java
+++ b/src/main/java/gatefront/policy/Balancer.java
@@ -367,6 +367,16 @@
      */
     void request(long now, Request request);
 
+    /**
+     * A request has arrived whose beginning arrived under settings that may have been replaced since. All decisions on
+     * it are made by those: its class, its number of attempts, what the host permits for it, and the prices.
+     *
+     * @param now the current time
+     * @param request the request, with an id that is not in use
+     * @param settings the settings that were in force when the request began, now or earlier
+     */
+    void request(long now, Request request, Settings settings);
+
     /**
      * The response to a streamed request has started. From now on no deadline applies.
      *
@@ -430,8 +440,7 @@
 
     /**
      * The settings have changed. Classes keep their numbers: the known classes are present with their new settings,
-     * and new ones may follow. Requests that have already arrived keep the settings of their class and their maximum
-     * number of attempts.
+     * and new ones may follow. Requests that have already arrived keep the settings that they began under.
      *
      * @param now the current time
      * @param settings the new settings; changes other than to the classes and the permits have no guaranteed effect
--- a/src/main/java/gatefront/policy/CheckedBalancer.java
+++ b/src/main/java/gatefront/policy/CheckedBalancer.java
@@ -121,14 +121,19 @@
 
     @Override
     public void request(long now, Request request) {
+        request(now, request, settings);
+    }
+
+    @Override
+    public void request(long now, Request request, Settings begunUnder) {
         Objects.requireNonNull(request, "request");
-        Objects.checkIndex(request.requestClass(), settings.classes().size());
+        Objects.checkIndex(request.requestClass(), begunUnder.classes().size());
         if (requests.containsKey(request.id())) {
             throw new IllegalArgumentException("request id " + request.id() + " is still in use");
         }
         handle(now, () -> {
             requests.put(request.id(), new TrackedRequest());
-            balancer.request(now, request);
+            balancer.request(now, request, begunUnder);
         });
     }
 
--- a/src/main/java/gatefront/policy/PendingRequest.java
+++ b/src/main/java/gatefront/policy/PendingRequest.java
@@ -3,6 +3,7 @@
 import gatefront.policy.Balancer.Outcome;
 import gatefront.policy.Balancer.Request;
 import gatefront.policy.Balancer.RequestClass;
+import gatefront.policy.Balancer.Settings;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -10,10 +11,11 @@
 final class PendingRequest {
     final Request request;
     final ClassState classState;
-    /** The request's class with the settings at its arrival. */
+    /** The settings that were in force when the request began. */
+    final Settings settings;
+    /** The request's class in these settings. */
     final RequestClass requestClass;
 
-    final int maxAttempts;
     /** Token of the request's timer. */
     final long token;
 
@@ -34,15 +36,15 @@
     PendingRequest(
             Request request,
             ClassState state,
-            int maxAttempts,
+            Settings settings,
             long token,
             long arrivedAt,
             long firstArrivedAt,
             long expiresAt) {
         this.request = request;
         this.classState = state;
-        this.requestClass = state.requestClass;
-        this.maxAttempts = maxAttempts;
+        this.settings = settings;
+        this.requestClass = settings.classes().get(request.requestClass());
         this.token = token;
         this.arrivedAt = arrivedAt;
         this.firstArrivedAt = firstArrivedAt;
@@ -67,6 +69,10 @@
         }
     }
 
+    boolean mayAttemptAgain() {
+        return attempts.size() < settings.permits().maxAttempts();
+    }
+
     int attemptsInFlight() {
         return (int)
                 attempts.stream().filter(attempt -> attempt.outcome == null).count();
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -5,6 +5,7 @@
 import gatefront.connection.AbstractFrontend;
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Payload;
+import gatefront.engine.RequestTerms;
 import gatefront.policy.Balancer;
 import gatefront.thrift.codec.MalformedMessageException;
 import gatefront.thrift.codec.MessageDecoder;
@@ -44,7 +45,7 @@
     private static final int REPLY_OVERHEAD_BYTES = 160;
 
     private final Transport transport;
-    private final Config config;
+    private Config config;
     private final ThriftSettings settings;
     private final Listener listener;
     private final BooleanSupplier ready;
@@ -66,14 +67,19 @@
         this.ready = ready;
     }
 
+    /** Judges calls that begin to arrive from now on by this configuration. */
+    public void updateConfig(Config newConfig) {
+        config = newConfig;
+    }
+
     @Override
     protected void initPipeline(DuplexChannel channel) {
         MessageDecoder decoder = new MessageDecoder(MessageLimits.DEFAULT, settings.format());
         channel.pipeline().addLast(decoder, new ClientConnection(channel, decoder));
     }
 
-    /** A call that has been read. */
-    private record QueuedCall(ThriftMessage message, long sentNanos) {}
+    /** A call that has been read, and the configuration that was in force when it began to arrive. */
+    private record QueuedCall(ThriftMessage message, Config config, long sentNanos) {}
 
     /** One request and its pending response. */
     private final class Exchange implements gatefront.engine.Exchange {
@@ -166,6 +172,8 @@
         private final Map<Integer, Exchange> inFlight = new LinkedHashMap<>();
 
         private final Deque<QueuedCall> queued = new ArrayDeque<>();
+        /** The configuration in force when the call that is being received began, or null while there is none. */
+        private Config incomingConfig;
         /** Reserved bytes of a call that is not yet complete. */
         private int partialBytes;
         /** Whether reading was stopped early (malformed input, no memory, timeout), so that unread input may remain. */
@@ -191,7 +199,8 @@
                 stopReading(); // without a memory reservation the request cannot even be queued
                 return;
             }
-            queued.add(new QueuedCall(call, sentNanos()));
+            queued.add(new QueuedCall(call, incomingConfig == null ? config : incomingConfig, sentNanos()));
+            incomingConfig = null;
             if (queued.size() >= MAX_QUEUED) {
                 channel.config().setAutoRead(false);
             }
@@ -201,6 +210,9 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             reservePartial();
+            if (incomingConfig == null && decoder.hasPartialMessage()) {
+                incomingConfig = config;
+            }
             processQueued();
             if ((state() == State.NEW || state() == State.KEEP_ALIVE) && decoder.hasPartialMessage()) {
                 transitionTo(State.READING_REQUEST);
@@ -290,7 +302,7 @@
                     exchange.respond(
                             MessageHeader.Type.REPLY,
                             ErrorResults.health(message.encoding(), ready.getAsBoolean() && !isMarkedNotReady()));
-                } else if (method == null) {
+                } else if (method == null || !call.config.hasClass(method.requestClass())) {
                     exchange.respondWithError(ThriftConventions.UNKNOWN_METHOD, "unknown method " + header.name());
                 } else {
                     dispatch(call, method, exchange);
@@ -305,7 +317,8 @@
         private void dispatch(QueuedCall call, ThriftSettings.Method method, Exchange exchange) {
             ThriftMessage message = call.message;
             CallMetadata.ParseResult parsed = CallMetadata.parse(message);
-            String error = parsed.error() != null ? parsed.error() : validate(parsed.metadata(), method);
+            Config begunUnder = call.config;
+            String error = parsed.error() != null ? parsed.error() : validate(parsed.metadata(), method, begunUnder);
             if (error != null) {
                 exchange.respondWithError(ThriftConventions.PROTOCOL_ERROR, error);
                 return;
@@ -313,9 +326,10 @@
             CallMetadata metadata = parsed.metadata();
             listener.request(
                     new ClientRequest(
+                            new RequestTerms(begunUnder.settings(), begunUnder.classes(), begunUnder.tenants()),
                             metadata.requestId,
                             method.requestClass(),
-                            Math.max(0, config.tenants().indexOf(metadata.tenant)),
+                            Math.max(0, begunUnder.tenants().indexOf(metadata.tenant)),
                             metadata.affinityKey.isEmpty() ? 0 : Config.id(metadata.affinityKey),
                             metadata.workHint,
                             metadata.timeoutMs,
@@ -371,7 +385,7 @@
     }
 
     /** Returns why a request is invalid, or null. The rules are the same as for requests over HTTP. */
-    private String validate(CallMetadata metadata, ThriftSettings.Method method) {
+    private static String validate(CallMetadata metadata, ThriftSettings.Method method, Config config) {
         if (!ClientRequest.isValidId(metadata.requestId)) {
             return "requestId is missing or has not the form of an id";
         }
--- a/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
+++ b/src/test/java/gatefront/rehearsal/FaultyAgentTest.java
@@ -45,6 +45,11 @@
             delegate.request(now, request);
         }
 
+        @Override
+        public void request(long now, Request request, Settings settings) {
+            request(now, request);
+        }
+
         @Override
         public void streamStarted(long now, long request, int attempt, long server, long elapsedMicros) {}
 
