Use is kept by the names and the worth that requests began under

Cause: the meter counted by the indexes of the settings, and the recorder looked names and worth up in the newest ones. Past the end of the list that threw, in the periodic task and in the shutdown. Change: the meter's cells are names, and the worth is that of the request's own terms, so that nothing is looked up later and nothing of it can throw.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -346,7 +346,7 @@
         Agent agent = new Agent(config, extensions, transport, handover, module);
         if (extensions.ledger() != null) {
             try {
-                agent.usageRecorder = UsageRecorder.open(transport, extensions.ledger(), () -> agent.config);
+                agent.usageRecorder = UsageRecorder.open(transport, extensions.ledger());
             } catch (IOException e) {
                 throw agent.abortStart(e.getMessage());
             }
--- a/src/main/java/gatefront/agent/UsageRecorder.java
+++ b/src/main/java/gatefront/agent/UsageRecorder.java
@@ -1,6 +1,5 @@
 package gatefront.agent;
 
-import gatefront.config.Config;
 import gatefront.engine.UsageMeter;
 import gatefront.ledger.Ledger;
 import gatefront.ledger.PeriodClock;
@@ -19,7 +18,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 /**
  * Writes the usage served by the engine to the ledger of an instance. The event loop counts and periodically hands the
@@ -30,7 +28,6 @@
  * <p>A process that takes over from another finds the ledger open in that process, and counts until it is released.
  */
 final class UsageRecorder {
-    private static final double MILLIONTHS_PER_UNIT = 1e6;
     /**
      * Maximum number of periods without usage that are closed one by one; a clock may jump over millions of them.
      */
@@ -38,7 +35,6 @@
 
     private final Transport transport;
     private final LedgerSettings settings;
-    private final Supplier<Config> config;
     private final Store.Options options;
     private final UsageMeter meter = new UsageMeter();
     private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
@@ -64,14 +60,9 @@
     private long firstUnclosed;
 
     private UsageRecorder(
-            Transport transport,
-            LedgerSettings settings,
-            Supplier<Config> config,
-            Store.Options options,
-            LedgerStore ledgerStore) {
+            Transport transport, LedgerSettings settings, Store.Options options, LedgerStore ledgerStore) {
         this.transport = transport;
         this.settings = settings;
-        this.config = config;
         this.options = options;
         this.ledgerStore = ledgerStore;
         long lastPeriod = 0;
@@ -87,11 +78,9 @@
     /**
      * Opens the ledger. If another process holds it, it is opened later by the writer.
      *
-     * @param config supplies the current configuration; called on the loop
      * @throws IOException with a one-line message, if the ledger cannot be used
      */
-    static UsageRecorder open(Transport transport, LedgerSettings settings, Supplier<Config> config)
-            throws IOException {
+    static UsageRecorder open(Transport transport, LedgerSettings settings) throws IOException {
         SigningKeys keys = settings.keys() == null ? SigningKeys.NONE : SigningKeys.read(settings.keys());
         Store.Options options = new Store.Options(keys, Store.Options.DEFAULTS.segmentBytes(), settings.maxBytes());
         LedgerStore ledgerStore = null;
@@ -106,7 +95,7 @@
         } catch (IOException e) {
             throw new IOException("ledger " + settings.directory() + ": " + e.getMessage(), e);
         }
-        return new UsageRecorder(transport, settings, config, options, ledgerStore);
+        return new UsageRecorder(transport, settings, options, ledgerStore);
     }
 
     /** Returns the meter that the engine counts on. */
@@ -138,17 +127,10 @@
     }
 
     private void collect(long period) {
-        Config current = config.get();
-        meter.drain((tenant, classNumber, requests, work, bytes) -> {
-            double worth = current.settings().classes().get(classNumber).worth();
-            pending.merge(
-                    new Ledger.Cell(
-                            period,
-                            current.tenants().isEmpty() ? "" : current.tenants().get(tenant),
-                            current.classes().get(classNumber)),
-                    new UsageAmounts(requests, (long) (MILLIONTHS_PER_UNIT * worth * requests), work, bytes),
-                    UsageAmounts::plus);
-        });
+        meter.drain((tenant, requestClass, requests, worthMillionths, serverMicros, bytes) -> pending.merge(
+                new Ledger.Cell(period, tenant, requestClass),
+                new UsageAmounts(requests, worthMillionths, serverMicros, bytes),
+                UsageAmounts::plus));
     }
 
     /** Writes a batch, on the writer thread; amounts that could not be written are returned to the loop. */
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -531,10 +531,7 @@
         counters.recordServed(pending.request.requestClass());
         if (usageMeter != null) {
             usageMeter.record(
-                    pending.request.tenant(),
-                    pending.request.requestClass(),
-                    elapsedMicros,
-                    pending.request.payload().bodyBytes() + response.bodyBytes());
+                    pending.request, elapsedMicros, pending.request.payload().bodyBytes() + response.bodyBytes());
         }
     }
 
--- a/src/main/java/gatefront/engine/UsageMeter.java
+++ b/src/main/java/gatefront/engine/UsageMeter.java
@@ -1,53 +1,50 @@
 package gatefront.engine;
 
-import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
- * Sums what was served by tenant index and class index since the last {@link #drain}. Not thread-safe. Each pair that
- * was ever used keeps a cell; both are bounded where indexes are assigned. Recording a request costs three additions.
+ * Sums what was served by tenant and class since the last {@link #drain}. They are kept by name, as a reload may give
+ * their indexes to others. Not thread-safe. Holds a cell for each pair that was used since then.
  */
 public final class UsageMeter {
+    private static final double MILLIONTHS_PER_UNIT = 1e6;
+
     /** Receives the sums of a tenant and class. */
     public interface Visitor {
         /**
-         * Reports the number of requests, the servers' time in microseconds and the bytes of request and response
-         * bodies.
+         * Reports the number of requests, their worth in millionths, the servers' time in microseconds and the bytes of
+         * request and response bodies.
          */
-        void visit(int tenant, int requestClass, long requests, long serverMicros, long bytes);
+        void visit(
+                String tenant, String requestClass, long requests, long worthMillionths, long serverMicros, long bytes);
     }
 
-    private static final int VALUES_PER_CLASS = 3;
-
-    private long[][] byTenant = {};
-
-    /** Records a served request. */
-    void record(int tenant, int requestClass, long serverMicros, long bytes) {
-        if (tenant >= byTenant.length) {
-            int oldLength = byTenant.length;
-            byTenant = Arrays.copyOf(byTenant, tenant + 1);
-            Arrays.fill(byTenant, oldLength, tenant + 1, new long[0]);
-        }
-        int offset = VALUES_PER_CLASS * requestClass;
-        if (offset >= byTenant[tenant].length) {
-            byTenant[tenant] = Arrays.copyOf(byTenant[tenant], offset + VALUES_PER_CLASS);
-        }
-        long[] cells = byTenant[tenant];
-        cells[offset]++;
-        cells[offset + 1] += serverMicros;
-        cells[offset + 2] += bytes;
+    private record Cell(String tenant, String requestClass) {}
+
+    private static final class Sums {
+        long requests;
+        long worthMillionths;
+        long serverMicros;
+        long bytes;
+    }
+
+    private final Map<Cell, Sums> sumsByCell = new HashMap<>();
+
+    /** Records a served request at the worth that its class had when it began. */
+    void record(ClientRequest request, long serverMicros, long bytes) {
+        Sums sums = sumsByCell.computeIfAbsent(new Cell(request.tenantName(), request.className()), cell -> new Sums());
+        sums.requests++;
+        sums.worthMillionths +=
+                Math.round(MILLIONTHS_PER_UNIT * request.classSettings().worth());
+        sums.serverMicros += serverMicros;
+        sums.bytes += bytes;
     }
 
-    /** Passes each cell with any requests to {@code visitor}, and resets all. */
+    /** Passes each cell to {@code visitor}, and forgets it. */
     public void drain(Visitor visitor) {
-        for (int tenant = 0; tenant < byTenant.length; tenant++) {
-            long[] cells = byTenant[tenant];
-            for (int offset = 0; offset < cells.length; offset += VALUES_PER_CLASS) {
-                if (cells[offset] > 0) {
-                    visitor.visit(
-                            tenant, offset / VALUES_PER_CLASS, cells[offset], cells[offset + 1], cells[offset + 2]);
-                }
-            }
-            Arrays.fill(cells, 0);
-        }
+        sumsByCell.forEach((cell, sums) -> visitor.visit(
+                cell.tenant, cell.requestClass, sums.requests, sums.worthMillionths, sums.serverMicros, sums.bytes));
+        sumsByCell.clear();
     }
 }
--- a/src/test/java/gatefront/agent/LedgerClockTest.java
+++ b/src/test/java/gatefront/agent/LedgerClockTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import gatefront.config.Config;
 import gatefront.ledger.Ledger;
 import gatefront.ledgerstore.LedgerStore;
 import gatefront.storage.DirectoryDisk;
@@ -13,7 +11,6 @@
 import gatefront.transport.SocketTransport;
 import gatefront.transport.Transport;
 import java.lang.reflect.Proxy;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -51,12 +48,8 @@
                 new Class<?>[] {Transport.class},
                 (proxy, method, args) ->
                         method.getName().equals("wallMicros") ? wall.get() : method.invoke(sockets, args));
-        Config config = Config.fromJson(
-                new ObjectMapper().readTree(Files.readAllBytes(Path.of("src/test/resources/config.json"))));
         UsageRecorder recorder = UsageRecorder.open(
-                transport,
-                new LedgerSettings(folder.resolve("books"), "a", null, SECOND, SECOND / 10, 1 << 20),
-                () -> config);
+                transport, new LedgerSettings(folder.resolve("books"), "a", null, SECOND, SECOND / 10, 1 << 20));
         recorder.start();
         Thread.sleep(300);
         wall.addAndGet(1_000L * 365 * 86_400 * SECOND);
--- a/src/test/java/gatefront/agent/UsageRecorderTest.java
+++ b/src/test/java/gatefront/agent/UsageRecorderTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.config.Config;
 import gatefront.ledger.Ledger;
 import gatefront.ledger.UsageAmounts;
@@ -14,12 +16,17 @@
 import gatefront.storage.StoreVerification;
 import gatefront.toml.TomlException;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The usage of an agent is written to its ledger, over sockets and in a real directory. */
@@ -116,6 +123,59 @@
         assertEquals(2, total(readLedger().ledger(), "pay").requests());
     }
 
+    private static void setTenants(ObjectNode config, String... names) {
+        ArrayNode tenants = ((ObjectNode) config.get("settings")).putArray("realms");
+        for (String name : names) {
+            tenants.addObject().put("name", name).put("quota-per-s", 50.0).put("fraction", 0.25);
+        }
+    }
+
+    private Socket beginRequest(String request) throws IOException {
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, request.substring(0, request.length() - 10));
+        return client;
+    }
+
+    private String requestOf(String tenant) {
+        return fixture.request("pay", 8_000, "0123456789").replace("\r\n\r\n", "\r\nTenant: " + tenant + "\r\n\r\n");
+    }
+
+    /** Guards against use that is booked to another tenant, or lost with all that follows, after a reload. */
+    @Test
+    @Timeout(60)
+    void usageIsBookedToTheTenantAndWorthThatItBeganUnder() throws Exception {
+        setTenants(fixture.config, "mitla", "etla");
+        fixture.start(Extensions.parse(
+                "x.toml",
+                "[ledger]\nfolder = \"" + folder.resolve("books") + "\"\ninstance = \"agente-1\"\nwrite_s = 3600\n",
+                Config.fromJson(fixture.config)));
+        assertEquals(
+                200, AgentFixture.exchange(fixture.dial(), requestOf("etla")).status());
+        Socket halfSent = beginRequest(requestOf("etla"));
+        Thread.sleep(200);
+        ObjectNode changed = fixture.config.deepCopy();
+        setTenants(changed, "tlacolula");
+        ((ObjectNode) changed.get("settings").get("classes").get(1)).put("worth", 9.0);
+        fixture.agent.reload(() -> Config.fromJson(changed));
+        fixture.agent.loop().submit(() -> {}).sync();
+        ScriptedPeer.write(halfSent, "0123456789");
+        assertEquals(200, ScriptedPeer.read(halfSent.getInputStream()).status());
+        assertEquals(
+                200,
+                AgentFixture.exchange(fixture.dial(), requestOf("tlacolula")).status());
+        fixture.agent.stop();
+        Map<String, UsageAmounts> byTenant = new HashMap<>();
+        Ledger ledger = readLedger().ledger();
+        for (long period : ledger.periods()) {
+            ledger.totals(period)
+                    .forEach((cell, amounts) -> byTenant.merge(cell.tenant(), amounts, UsageAmounts::plus));
+        }
+        assertEquals(Set.of("etla", "tlacolula"), byTenant.keySet());
+        assertEquals(2, byTenant.get("etla").requests());
+        assertEquals(2 * 4_000_000, byTenant.get("etla").worth());
+        assertEquals(9_000_000, byTenant.get("tlacolula").worth());
+    }
+
     @Test
     void ledgerHeldByAnotherProcessIsAwaitedWithoutLosingUsage() throws Exception {
         LedgerStore other =
