Heads of pipelined requests that wait are counted, and refused where there is no room

What callers could see: 300 clients that pipeline requests with heads of 7.5 KB to servers that do not answer brought the agent to a standstill: a short request of another got no answer in 4 s.

Cause: up to 64 requests of a connection wait in its queue, read ahead in search of the client's close, and only bodies were counted. Evidence: heap info and histogram of the agent in that state: 21,887 of 21,888 KB of the tenured generation and all of eden in use, 2,778 queued requests with 27.6 MB of byte arrays; the loop in the decoders between collections.

A request that does not wait costs nothing more.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -50,8 +50,16 @@
  * its connection is closed. Runs on the agent's event loop.
  */
 public final class HttpFrontend extends AbstractFrontend {
-    /** Input that waits for its turn: a request, an error to respond with, or, with neither, a health check. */
-    private record QueuedRequest(ClientRequest request, HttpResponseStatus error, boolean keepAlive, long sentNanos) {}
+    /**
+     * Input that waits for its turn: a request, an error to respond with, or, with neither, a health check. Bytes are
+     * reserved for a head that waits behind other requests.
+     */
+    private record QueuedRequest(
+            ClientRequest request,
+            HttpResponseStatus error,
+            boolean keepAlive,
+            long sentNanos,
+            int reservedHeadBytes) {}
 
     /** Headers that are hop-by-hop, or that the agent sets itself; not forwarded to servers. */
     private static final AsciiString[] UNFORWARDED_HEADERS = {
@@ -88,6 +96,10 @@
     };
 
     private static final long MAX_TIMEOUT_MS = 3_600_000;
+    /** What the head of a request takes besides its characters. */
+    private static final int HEAD_OVERHEAD_BYTES = 1 << 10;
+    /** The heads that wait on one connection may take this multiple of the window of a streamed body. */
+    private static final int MAX_QUEUED_HEAD_WINDOWS = 4;
     /** Pipelined requests on one connection before reading from it is paused. */
     private static final int MAX_PIPELINED = 4;
     /** Pipelined requests on one connection that are read ahead in search of the client's close. */
@@ -272,6 +284,8 @@
     private final class ClientConnection extends Connection {
         private final StrictHttpDecoders.Requests decoder;
         private final Deque<QueuedRequest> pipelined = new ArrayDeque<>();
+        /** Reserved bytes of the heads of {@link #pipelined}. */
+        private int pipelinedHeadBytes;
         /** The exchange whose response is due next, or null. */
         private Exchange current;
         /** The request whose body is being received; null for a health check. */
@@ -388,7 +402,7 @@
                         ? incomingRequest
                         : withBody(incomingRequest, ByteBufUtil.getBytes(body));
                 body = Unpooled.EMPTY_BUFFER;
-                enqueue(new QueuedRequest(complete, null, keepAlive, sentNanos()));
+                enqueueComplete(complete);
             }
         }
 
@@ -501,7 +515,7 @@
             uploadedBytes = received.readableBytes();
             stream.write(received);
             scheduleUploadStallCheck(stream, uploadedBytes);
-            enqueue(new QueuedRequest(withBody(incomingRequest, stream, bodyFraming), null, keepAlive, sentNanos()));
+            enqueue(new QueuedRequest(withBody(incomingRequest, stream, bodyFraming), null, keepAlive, sentNanos(), 0));
         }
 
         /** Aborts a streamed request body, of which no server gets the whole, and responds with {@code status}. */
@@ -569,7 +583,7 @@
             ignoresInput = true;
             body = Unpooled.EMPTY_BUFFER;
             channel.config().setAutoRead(false);
-            enqueue(new QueuedRequest(null, error, false, transport.nanos()));
+            enqueue(new QueuedRequest(null, error, false, transport.nanos(), 0));
         }
 
         /** Returns whether a valid request is pipelined; invalid input may go without a response when closing. */
@@ -577,6 +591,20 @@
             return !pipelined.isEmpty() && pipelined.peek().error == null;
         }
 
+        /** Queues a request; if it has to wait for others, and there is no memory for its head, it is refused. */
+        private void enqueueComplete(ClientRequest request) {
+            boolean waits = current != null || !pipelined.isEmpty();
+            int headBytes = waits ? headBytes(request) : 0;
+            if (pipelinedHeadBytes + headBytes
+                            > MAX_QUEUED_HEAD_WINDOWS * requestWindow().bytes()
+                    || waits && !reserve(headBytes)) {
+                rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            pipelinedHeadBytes += headBytes;
+            enqueue(new QueuedRequest(request, null, keepAlive, sentNanos(), headBytes));
+        }
+
         private void enqueue(QueuedRequest queued) {
             pipelined.add(queued);
             if (pipelined.size() >= MAX_PIPELINED) {
@@ -591,7 +619,10 @@
                         .setAutoRead(pipelined.size() < MAX_PIPELINED && (upload == null || !upload.isPaused()));
             }
             if (current == null && !pipelined.isEmpty() && channel.isWritable()) {
-                process(pipelined.poll());
+                QueuedRequest next = pipelined.poll();
+                pipelinedHeadBytes -= next.reservedHeadBytes;
+                release(next.reservedHeadBytes);
+                process(next);
             }
         }
 
@@ -649,6 +680,22 @@
                 head.method(), head.uri(), head.headers(), HttpUpstream.NO_BODY, body, Math.max(-1, length)));
     }
 
+    /** Returns about how much memory the head of a request takes; 0 for a health check. */
+    private static int headBytes(ClientRequest request) {
+        if (request == null) {
+            return 0;
+        }
+        OutgoingRequest head = (OutgoingRequest) request.payload();
+        int bytes = HEAD_OVERHEAD_BYTES + head.uri().length();
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> headers =
+                        head.headers().iteratorCharSequence();
+                headers.hasNext(); ) {
+            Map.Entry<CharSequence, CharSequence> header = headers.next();
+            bytes += header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+
     private static byte[] bodyOf(ClientRequest request) {
         return ((OutgoingRequest) request.payload()).body();
     }
--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -27,6 +27,7 @@
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -229,6 +230,26 @@
         assertOthersAreAnswered();
     }
 
+    /** Guards against memory exhausted by the heads of requests that wait behind others. */
+    @Test
+    void pipelinedRequestsWithLongHeadsDoNotStopTheAgent() throws Exception {
+        serveBodies(100);
+        for (int i = 0; i < 8; i++) {
+            listSilentServer();
+        }
+        startAgent();
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            Socket client = agent.dial();
+            StringBuilder pipelined = new StringBuilder();
+            for (int j = 0; j < 60; j++) {
+                pipelined.append(fixture.request("lookup", 8_000, "")
+                        .replace("\r\n\r\n", "\r\nFiller: " + "x".repeat(7_500) + "\r\n\r\n"));
+            }
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, pipelined.toString()));
+        }
+        assertOthersAreAnswered();
+    }
+
     /** Guards against memory exhausted by servers that never finish their responses. */
     @ParameterizedTest
     @ValueSource(ints = {LARGEST_WHOLE_BODY, MIB})
