Clients that read nothing for 2 s are closed while unread responses are at their cap

What callers could see: with 200 Thrift clients that call and do not read, every call of others was refused for as long as those stayed.

All calls were answered in time, but refused. Cause: at the cap of unread responses new requests are refused; the connections that hold them were closed only from twice the cap, so that the slow peers were paid for by all others. Change: at the cap, too, those go that have read nothing for 2 s, the longest first; a client that reads at all, however slowly, is not one of them.

Measured: MemoryTest.clientThatReadsNothingIsClosedWhileUnreadResponsesAreAtTheirCap failed before (still connected after 20 s), passes now. The case of SlowPeersTest passed alone and 3 of 3 times beside a load of 13.

--- a/src/main/java/gatefront/budget/ResourcePurpose.java
+++ b/src/main/java/gatefront/budget/ResourcePurpose.java
@@ -14,8 +14,8 @@
     /** Accepted requests in progress, with their timers and names. At the cap, refused with Retry-After. */
     CALLS,
     /**
-     * Responses that clients have not read yet. At the cap, new requests are refused with Retry-After; at twice the cap,
-     * the connections of the slowest readers are closed.
+     * Responses that clients have not read yet. At the cap, new requests are refused with Retry-After, and clients that
+     * have read nothing for some time are closed; at twice the cap, the slowest readers are closed at once.
      */
     ANSWERS,
     /** Connections to servers. At the cap, the one idle longest is closed; if none is idle, the attempt is not sent. */
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -76,8 +76,10 @@
      */
     private static final double PRESSURE_FRACTION = 0.6;
 
-    /** Slow readers are closed from this multiple of the cap on unread responses. */
+    /** Slow readers are closed at once from this multiple of the cap on unread responses. */
     private static final int MAX_RESPONSE_OVERCOMMIT = 2;
+    /** Time without reading after which a client is closed if the cap on unread responses is reached. */
+    private static final long MIN_STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** What a response holds besides its body: its head and the buffers' own objects. */
     private static final int RESPONSE_OVERHEAD_BYTES = 256;
 
@@ -116,7 +118,7 @@
     private final ResourceAccount responseAccount;
     /** Window of the request bodies that are streamed to servers. */
     private final StreamWindow requestWindow;
-    /** Connections with responses that are not written yet; the one that has written nothing for longest is first. */
+    /** Connections with responses that are not written yet; the one that has read nothing for longest is first. */
     private final Set<Connection> slowReaders = new LinkedHashSet<>();
     /** Knows since when connections may have waited to be accepted. */
     private final AcceptQueue acceptQueue;
@@ -373,14 +375,19 @@
     }
 
     /**
-     * Closes the connections of the slowest readers while their responses hold far more than they may together. At the
-     * cap no further request is taken, but those in progress still get their responses.
+     * Closes the connections of the slowest readers while too many responses are unread. At the cap no further request
+     * is taken, so that those go who have read nothing for a while; as requests in progress still get their responses,
+     * far above the cap the slowest go at once.
      */
     private void closeSlowReaders() {
         slowReaderCheckScheduled = false;
         Iterator<Connection> slowest = List.copyOf(slowReaders).iterator();
-        while (exceedsResponseLimit() && slowest.hasNext()) {
-            slowest.next().close("the slowest reader, while too many responses are unread");
+        while (responseAccount.isFull() && slowest.hasNext()) {
+            Connection connection = slowest.next();
+            if (!exceedsResponseLimit() && transport.nanos() - connection.readNothingSinceNanos < MIN_STALL_NANOS) {
+                break;
+            }
+            connection.close("the slowest reader, while too many responses are unread");
         }
     }
 
@@ -409,6 +416,8 @@
         private int heldBytes;
         /** Bytes of responses that have not been written yet. */
         private long unwrittenBytes;
+        /** Since when none of them has been written. */
+        private long readNothingSinceNanos;
         /** When the frontend began to read from the connection. */
         private long readFromNanos;
         /** Why the agent closes the connection, or null if it does not. */
@@ -495,6 +504,9 @@
                 responseAccount.release(bytes);
                 return written;
             }
+            if (unwrittenBytes == 0) {
+                readNothingSinceNanos = transport.nanos();
+            }
             unwrittenBytes += bytes;
             slowReaders.add(this);
             if (exceedsResponseLimit() && !slowReaderCheckScheduled) {
@@ -510,7 +522,8 @@
             unwrittenBytes -= bytes;
             slowReaders.remove(this);
             if (unwrittenBytes > 0) {
-                slowReaders.add(this); // behind those that have written nothing meanwhile
+                readNothingSinceNanos = transport.nanos();
+                slowReaders.add(this); // behind those that have read nothing meanwhile
             }
         }
 
