A Thrift call has begun once the length of its frame has arrived

What callers could see: an unsafe call of which only the frame's length had arrived at a reload was judged by the new settings and ran twice; such a connection also had no read timeout.

Cause: the decoder consumes the length at once, and a message in part was told by unread bytes alone. Change: a frame whose length is known is a message in part. Measured: the case "100, 4" of unsafeThriftCallPartlyReceivedAtTheReloadRunsOnce, now the second call of its connection, failed before and passes; the other tests of Thrift passed.

--- a/src/main/java/gatefront/thrift/codec/MessageDecoder.java
+++ b/src/main/java/gatefront/thrift/codec/MessageDecoder.java
@@ -45,7 +45,7 @@
 
     /** Returns whether part of a message has been received. */
     public boolean hasPartialMessage() {
-        return !failed && actualReadableBytes() > 0;
+        return !failed && (frameLength > 0 || actualReadableBytes() > 0);
     }
 
     /** Returns whether bytes have been received beyond the messages decoded so far. */
--- a/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
+++ b/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
@@ -175,7 +175,7 @@
 
     /** Guards against an unsafe Thrift call that runs twice because a reload makes its class safe while it arrives. */
     @ParameterizedTest
-    @CsvSource({"100, 10", "40000, 20000", "60000, 59990"})
+    @CsvSource({"100, 4", "100, 10", "40000, 20000", "60000, 59990"}) // 4 is the length of the frame alone
     void unsafeThriftCallPartlyReceivedAtTheReloadRunsOnce(int textBytes, int receivedBytes) throws Exception {
         try (ThriftAgentFixture thrift = new ThriftAgentFixture(FORMAT)) {
             Processor first = thrift.server((method, args) -> failed());
@@ -183,12 +183,14 @@
             thrift.start();
             byte[] call = orderCall("half-sent", 0, null, "x".repeat(textBytes));
             Socket client = thrift.dial();
+            client.getOutputStream().write(orderCall("before", 0, null, ""));
+            assertNotNull(readReply(client).failed);
             client.getOutputStream().write(call, 0, receivedBytes);
             Thread.sleep(200);
             reload(thrift.agent, thrift.config, settings -> setClass(settings, "order", "semantics", "safe"));
             client.getOutputStream().write(call, receivedBytes, call.length - receivedBytes);
-            assertEquals(null, readReply(client).success);
-            assertEquals(1, first.calls.get() + second.calls.get());
+            assertNotNull(readReply(client).failed);
+            assertEquals(2, first.calls.get() + second.calls.get());
         }
     }
 
