--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -65,17 +66,6 @@
     /** Maximum wait for the first server list before the known one is used, in milliseconds. */
     private static final long FIRST_LIST_TIMEOUT_MS = 1_000;
 
-    /** Request bodies, and partial responses, may each take the memory budget divided by this. */
-    private static final int BODY_HEAP_DIVISOR = 6;
-    /** Responses that clients have not read may take the memory budget divided by this. */
-    private static final int RESPONSE_HEAP_DIVISOR = 8;
-    /**
-     * Default cap on requests held, per connection: a protocol with pipelining lets several of one connection wait.
-     */
-    private static final int CALLS_PER_CONNECTION = 8;
-
-    /** Lower bound of the default cap on requests held. */
-    private static final int MIN_CALLS_CAP = 1_024;
     /** Interval between two samples of the memory trend, in seconds. */
     private static final long TREND_INTERVAL_SECONDS = 1;
     /** Interval of the check for a stalled process, in milliseconds. */
@@ -101,8 +91,8 @@
     private final MembershipSources membershipSources;
 
     private final HttpFrontend httpFrontend;
-    /** Serves Thrift; null if it is not configured. */
-    private final ThriftFrontend thriftFrontend;
+    /** Take the settings of a reload. */
+    private final List<Consumer<Config>> configListeners = new ArrayList<>();
     /** Serves the management endpoint; null if it is not configured. */
     private final OperatorControls operatorControls;
     /** Writes the usage of each municipio to the ledger; null if there is no ledger. */
@@ -145,7 +135,7 @@
         this.transport = transport;
         loop = transport.loop();
         int connectionLimit = (config.sockets() - RESERVED_SOCKETS) / (thrift == null ? 2 : 4);
-        defaultCaps = defaultCaps(transport.maxMemoryBytes(), connectionLimit * (thrift == null ? 1 : 2));
+        defaultCaps = DefaultCaps.of(transport.maxMemoryBytes(), connectionLimit * (thrift == null ? 1 : 2));
         budget = new ResourceBudget(transport.maxMemoryBytes(), defaultCaps);
         applyCaps(extensions);
         status = extensions.memory() == null || extensions.memory().status() == null
@@ -214,18 +204,18 @@
         httpFrontend = new HttpFrontend(
                 transport, config, connectionLimit, this::ready, budget, engine.listenerFor(httpUpstream));
         frontends.add(httpFrontend);
-        thriftFrontend = thrift == null
-                ? null
-                : new ThriftFrontend(
-                        transport,
-                        config,
-                        thrift,
-                        connectionLimit,
-                        this::ready,
-                        budget,
-                        engine.listenerFor(thriftUpstream));
-        if (thriftFrontend != null) {
+        configListeners.add(httpFrontend::updateConfig);
+        if (thrift != null) {
+            ThriftFrontend thriftFrontend = new ThriftFrontend(
+                    transport,
+                    config,
+                    thrift,
+                    connectionLimit,
+                    this::ready,
+                    budget,
+                    engine.listenerFor(thriftUpstream));
             frontends.add(thriftFrontend);
+            configListeners.add(thriftFrontend::updateConfig);
         }
         operatorControls = config.management() == null ? null : createOperatorControls(this, handover);
     }
@@ -254,21 +244,6 @@
                 });
     }
 
-    /** Default caps per purpose. The connections' own limits apply in addition. */
-    static Map<ResourcePurpose, ResourceBudget.Cap> defaultCaps(long memory, int connections) {
-        Map<ResourcePurpose, ResourceBudget.Cap> caps = new EnumMap<>(ResourcePurpose.class);
-        // No cap on client connections: the limit of a frontend excludes connections that are closing, whereas the
-        // account counts them.
-        caps.put(ResourcePurpose.SERVER_CONNECTIONS, new ResourceBudget.Cap(connections, -1));
-        caps.put(ResourcePurpose.REQUESTS, new ResourceBudget.Cap(-1, memory / BODY_HEAP_DIVISOR));
-        caps.put(ResourcePurpose.SERVER_ANSWERS, new ResourceBudget.Cap(-1, memory / BODY_HEAP_DIVISOR));
-        caps.put(ResourcePurpose.ANSWERS, new ResourceBudget.Cap(-1, memory / RESPONSE_HEAP_DIVISOR));
-        caps.put(
-                ResourcePurpose.CALLS,
-                new ResourceBudget.Cap(Math.max(MIN_CALLS_CAP, CALLS_PER_CONNECTION * connections), -1));
-        return caps;
-    }
-
     /** Applies the caps of the extensions file; purposes that it does not name return to the default. */
     private void applyCaps(Extensions extensions) {
         Map<ResourcePurpose, ResourceBudget.Cap> caps = new EnumMap<>(ResourcePurpose.class);
@@ -641,10 +616,7 @@
                     }
                     if (!changed.settingsJson().equals(config.settingsJson())) {
                         engine.updateSettings(changed.settings());
-                        httpFrontend.updateConfig(changed);
-                        if (thriftFrontend != null) {
-                            thriftFrontend.updateConfig(changed);
-                        }
+                        configListeners.forEach(listener -> listener.accept(changed));
                     }
                     config = changed;
                     if (stateRecovery != null) {
--- a/src/main/java/gatefront/engine/RequestTerms.java
+++ b/src/main/java/gatefront/engine/RequestTerms.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The configuration that was in force when a request began to arrive. A reload that comes while the request is received,
- * queued, attempted or answered changes nothing for it.
+ * The configuration that was in force when a request began to arrive. A reload that comes while the request is
+ * received, queued, attempted or answered changes nothing for it.
  *
  * @param settings settings of the decision module
  * @param classes names of the request classes, by index
--- a/src/main/java/gatefront/http/HttpRequestParser.java
+++ b/src/main/java/gatefront/http/HttpRequestParser.java
@@ -98,20 +98,9 @@
         if (!isVisibleAscii(uri, '!') || !uri.startsWith("/")) {
             return null;
         }
-        HttpHeaders forwarded = HttpUpstream.UNVALIDATED_HEADERS.newHeaders();
-        int seenSingleHeaders = 0;
-        for (Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
-                entries.hasNext(); ) {
-            Map.Entry<CharSequence, CharSequence> header = entries.next();
-            int singleIndex = indexOf(SINGLE_VALUE_HEADERS, header.getKey());
-            if (!isVisibleAscii(header.getValue(), ' ')
-                    || singleIndex >= 0 && (seenSingleHeaders & 1 << singleIndex) != 0) {
-                return null;
-            }
-            seenSingleHeaders |= singleIndex < 0 ? 0 : 1 << singleIndex;
-            if (singleIndex >= 0 || indexOf(UNFORWARDED_HEADERS, header.getKey()) < 0) {
-                forwarded.add(header.getKey(), header.getValue());
-            }
+        HttpHeaders forwarded = copyForwarded(headers);
+        if (forwarded == null) {
+            return null;
         }
         String className = headers.get(REQUEST_CLASS, "");
         int requestClass = config.classIndex(className);
@@ -161,6 +150,26 @@
                 new OutgoingRequest(request.method(), uri, forwarded, HttpUpstream.NO_BODY));
     }
 
+    /** Returns the headers to forward, or null if one of them is invalid or repeated. */
+    private static HttpHeaders copyForwarded(HttpHeaders headers) {
+        HttpHeaders forwarded = HttpUpstream.UNVALIDATED_HEADERS.newHeaders();
+        int seenSingleHeaders = 0;
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
+                entries.hasNext(); ) {
+            Map.Entry<CharSequence, CharSequence> header = entries.next();
+            int singleIndex = indexOf(SINGLE_VALUE_HEADERS, header.getKey());
+            if (!isVisibleAscii(header.getValue(), ' ')
+                    || singleIndex >= 0 && (seenSingleHeaders & 1 << singleIndex) != 0) {
+                return null;
+            }
+            seenSingleHeaders |= singleIndex < 0 ? 0 : 1 << singleIndex;
+            if (singleIndex >= 0 || indexOf(UNFORWARDED_HEADERS, header.getKey()) < 0) {
+                forwarded.add(header.getKey(), header.getValue());
+            }
+        }
+        return forwarded;
+    }
+
     /** Returns the part of a path between its first slash and the next slash or question mark. */
     private static String firstPathSegment(String uri) {
         int end = 1;
