--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -375,19 +375,22 @@
     }
 
     /**
-     * Closes the connections of the slowest readers while too many responses are unread. At the cap no further request
-     * is taken, so that those go who have read nothing for a while; as requests in progress still get their responses,
-     * far above the cap the slowest go at once.
+     * Closes the connections of the slowest readers while too many responses are unread. At the cap, all other clients
+     * are refused, so connections are closed that have read nothing for {@link #MIN_STALL_NANOS}. Requests in progress
+     * still add their responses, so far above the cap the slowest are closed at once.
      */
     private void closeSlowReaders() {
         slowReaderCheckScheduled = false;
         Iterator<Connection> slowest = List.copyOf(slowReaders).iterator();
         while (responseAccount.isFull() && slowest.hasNext()) {
             Connection connection = slowest.next();
-            if (!exceedsResponseLimit() && transport.nanos() - connection.readNothingSinceNanos < MIN_STALL_NANOS) {
+            long stalledNanos = transport.nanos() - connection.readNothingSinceNanos;
+            if (!exceedsResponseLimit() && stalledNanos < MIN_STALL_NANOS) {
                 break;
             }
-            connection.close("the slowest reader, while too many responses are unread");
+            connection.close("the slowest reader, it has read nothing for "
+                    + TimeUnit.NANOSECONDS.toMillis(stalledNanos) + " ms, and " + responseAccount.bytes()
+                    + " bytes of responses are unread, of at most " + responseAccount.bytesCap());
         }
     }
 
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -680,7 +680,10 @@
         }
 
         private void discard() {
-            traceConnection(connection.channel, "its response is discarded, others need the memory");
+            traceConnection(
+                    connection.channel,
+                    "its response is discarded after " + partialBytes + " bytes, " + responseAccount.bytes()
+                            + " bytes are held of at most " + responseAccount.bytesCap());
             release();
             if (connection.attempt != null) {
                 connection.attempt.connectionLost();
--- a/src/main/java/gatefront/engine/ClientRequest.java
+++ b/src/main/java/gatefront/engine/ClientRequest.java
@@ -3,9 +3,9 @@
 import gatefront.policy.Balancer;
 
 /**
- * A client's request without anything specific to its protocol; class and tenant are indexes into its terms.
+ * A client's request without anything specific to its protocol; class and tenant are indexes into its settings.
  *
- * @param terms the configuration that it began to arrive under
+ * @param snapshot the settings that were in force when it began to arrive
  * @param id chosen by the client; only one request with an id is in progress at a time, across all protocols
  * @param requestClass index of the request class
  * @param tenant index of the tenant
@@ -16,7 +16,7 @@
  * @param payload the content to send to the server
  */
 public record ClientRequest(
-        RequestTerms terms,
+        SettingsSnapshot snapshot,
         String id,
         int requestClass,
         int tenant,
@@ -29,23 +29,23 @@
 
     /** Returns the settings of its class. */
     public Balancer.RequestClass classSettings() {
-        return terms.settings().classes().get(requestClass);
+        return snapshot.settings().classes().get(requestClass);
     }
 
     /** Returns the name of its class. */
     public String className() {
-        return terms.classes().get(requestClass);
+        return snapshot.classes().get(requestClass);
     }
 
     /** Returns the name of its tenant; empty if requests have none. */
     public String tenantName() {
-        return terms.tenants().isEmpty() ? "" : terms.tenants().get(tenant);
+        return snapshot.tenants().isEmpty() ? "" : snapshot.tenants().get(tenant);
     }
 
     /** Returns the same request with another content. */
     public ClientRequest withPayload(Payload newPayload) {
         return new ClientRequest(
-                terms, id, requestClass, tenant, affinityKey, costHint, timeoutMs, clientRetry, newPayload);
+                snapshot, id, requestClass, tenant, affinityKey, costHint, timeoutMs, clientRetry, newPayload);
     }
 
     /**
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -160,7 +160,7 @@
 
     /**
      * Applies changed settings; see {@link Balancer#settings}. Requests that have begun keep the former ones, which
-     * their {@link RequestTerms} carry.
+     * their {@link SettingsSnapshot} carry.
      */
     public void updateSettings(Balancer.Settings newSettings) {
         int classes = Math.max(counters.classCount(), newSettings.classes().size());
@@ -432,7 +432,7 @@
                 false);
         dispatch(pending, () -> {
             if (!pending.answered) { // the deadline may have passed while the event was deferred
-                balancer.request(now(), balancerRequest, request.terms().settings());
+                balancer.request(now(), balancerRequest, request.snapshot().settings());
             }
         });
     }
--- a/src/main/java/gatefront/engine/UsageMeter.java
+++ b/src/main/java/gatefront/engine/UsageMeter.java
@@ -5,7 +5,8 @@
 
 /**
  * Sums what was served by tenant and class since the last {@link #drain}. They are kept by name, as a reload may give
- * their indexes to others. Not thread-safe. Holds a cell for each pair that was used since then.
+ * their indexes to others. Not thread-safe. Holds a cell for each pair that was used since then, of those that the
+ * settings in that time name.
  */
 public final class UsageMeter {
     private static final double MILLIONTHS_PER_UNIT = 1e6;
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -390,14 +390,14 @@
         }
 
         private void beginRequest(HttpRequest head) {
-            Config begunUnder = incomingConfig == null ? config : incomingConfig;
+            Config configAtStart = incomingConfig == null ? config : incomingConfig;
             incomingConfig = null;
             keepAlive = HttpUtil.isKeepAlive(head);
             incomingRequest = null;
             bodyFraming = StrictHttpDecoders.framing(head.headers());
             HttpResponseStatus error = HttpRequestParser.framingError(head, bodyFraming);
             if (error == null && !HttpRequestParser.isHealthCheck(head)) {
-                incomingRequest = HttpRequestParser.parse(head, begunUnder);
+                incomingRequest = HttpRequestParser.parse(head, configAtStart);
                 error = incomingRequest == null ? HttpResponseStatus.BAD_REQUEST : null;
             }
             if (error != null) {
@@ -462,8 +462,7 @@
                         @Override
                         public void onCancel() {
                             // The response came before the body was complete: no further request is read, and the
-                            // connection
-                            // is closed.
+                            // connection is closed.
                             ignoresInput = true;
                             upload = null;
                             channel.config().setAutoRead(true);
--- a/src/main/java/gatefront/http/HttpRequestParser.java
+++ b/src/main/java/gatefront/http/HttpRequestParser.java
@@ -2,7 +2,7 @@
 
 import gatefront.config.Config;
 import gatefront.engine.ClientRequest;
-import gatefront.engine.RequestTerms;
+import gatefront.engine.SettingsSnapshot;
 import gatefront.http.HttpUpstream.OutgoingRequest;
 import gatefront.http.codec.StrictHttpDecoders;
 import gatefront.policy.Balancer;
@@ -139,7 +139,7 @@
         }
         String affinityKey = headers.get(AFFINITY_KEY, "");
         return new ClientRequest(
-                new RequestTerms(config.settings(), config.classes(), config.tenants()),
+                new SettingsSnapshot(config.settings(), config.classes(), config.tenants()),
                 id,
                 requestClass,
                 Math.max(0, tenant),
--- a/src/main/java/gatefront/policy/AdaptiveBalancer.java
+++ b/src/main/java/gatefront/policy/AdaptiveBalancer.java
@@ -330,9 +330,9 @@
     }
 
     @Override
-    public void request(long now, Request request, Settings begunUnder) {
+    public void request(long now, Request request, Settings settingsAtStart) {
         ClassState state = classes.get(request.requestClass());
-        RequestClass requestClass = begunUnder.classes().get(request.requestClass());
+        RequestClass requestClass = settingsAtStart.classes().get(request.requestClass());
         long aim = requestClass.aim() + (long) (requestClass.aimStretch() * request.cost());
         Long firstTryAt = request.cost() == 0 ? null : unservedArrivals.remove(fingerprint(request));
         long elapsed = firstTryAt != null ? now - firstTryAt : timeAlreadySpent(request, state, requestClass, now);
@@ -348,7 +348,8 @@
         long expiresAt = requestClass.lateShare() > 0
                 ? latestEnd
                 : Math.min(latestEnd, now + (likelyLate && !request.repeated() ? aim : remaining) - settings.tick());
-        PendingRequest req = new PendingRequest(request, state, begunUnder, nextToken++, now, now - elapsed, expiresAt);
+        PendingRequest req =
+                new PendingRequest(request, state, settingsAtStart, nextToken++, now, now - elapsed, expiresAt);
         openRequests.put(request.id(), req);
         requestsByToken.put(req.token, req);
         actions.timer(req.token, Math.max(0, expiresAt - now));
--- a/src/main/java/gatefront/policy/CheckedBalancer.java
+++ b/src/main/java/gatefront/policy/CheckedBalancer.java
@@ -125,15 +125,15 @@
     }
 
     @Override
-    public void request(long now, Request request, Settings begunUnder) {
+    public void request(long now, Request request, Settings settingsAtStart) {
         Objects.requireNonNull(request, "request");
-        Objects.checkIndex(request.requestClass(), begunUnder.classes().size());
+        Objects.checkIndex(request.requestClass(), settingsAtStart.classes().size());
         if (requests.containsKey(request.id())) {
             throw new IllegalArgumentException("request id " + request.id() + " is still in use");
         }
         handle(now, () -> {
             requests.put(request.id(), new TrackedRequest());
-            balancer.request(now, request, begunUnder);
+            balancer.request(now, request, settingsAtStart);
         });
     }
 
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -5,7 +5,7 @@
 import gatefront.connection.AbstractFrontend;
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Payload;
-import gatefront.engine.RequestTerms;
+import gatefront.engine.SettingsSnapshot;
 import gatefront.policy.Balancer;
 import gatefront.thrift.codec.MalformedMessageException;
 import gatefront.thrift.codec.MessageDecoder;
@@ -317,8 +317,8 @@
         private void dispatch(QueuedCall call, ThriftSettings.Method method, Exchange exchange) {
             ThriftMessage message = call.message;
             CallMetadata.ParseResult parsed = CallMetadata.parse(message);
-            Config begunUnder = call.config;
-            String error = parsed.error() != null ? parsed.error() : validate(parsed.metadata(), method, begunUnder);
+            Config configAtStart = call.config;
+            String error = parsed.error() != null ? parsed.error() : validate(parsed.metadata(), method, configAtStart);
             if (error != null) {
                 exchange.respondWithError(ThriftConventions.PROTOCOL_ERROR, error);
                 return;
@@ -326,10 +326,11 @@
             CallMetadata metadata = parsed.metadata();
             listener.request(
                     new ClientRequest(
-                            new RequestTerms(begunUnder.settings(), begunUnder.classes(), begunUnder.tenants()),
+                            new SettingsSnapshot(
+                                    configAtStart.settings(), configAtStart.classes(), configAtStart.tenants()),
                             metadata.requestId,
                             method.requestClass(),
-                            Math.max(0, begunUnder.tenants().indexOf(metadata.tenant)),
+                            Math.max(0, configAtStart.tenants().indexOf(metadata.tenant)),
                             metadata.affinityKey.isEmpty() ? 0 : Config.id(metadata.affinityKey),
                             metadata.workHint,
                             metadata.timeoutMs,
