The rehearsal flips bits where a later frame confirms them, so that damage is due

Cause: the fault `flipped` changed any byte of the newest file. A bit in the last frame is no damage for a store: no later frame states that it had been forced to the disk, so that it is the end of the log, as after a write that a crash cut off (docs/design/storage.md, storage-format.md, Reading 4).

A slow start was ruled out: beside 40 busy processes both agents reported the damage 3 to 4 s after the kill, and the play goes on for 8 s.

Change: the bit is in the first half of the file, which later frames confirm. The assertion is as it was. Flips at every byte, those of the last frame included, remain StoreTest.everySingleBitChangeIsDetected. The new test fails on the code before ("byte 50 of selector -50"); the rehearsal's test passes.

--- a/src/main/java/gatefront/rehearsal/processes/FolderFaults.java
+++ b/src/main/java/gatefront/rehearsal/processes/FolderFaults.java
@@ -81,12 +81,16 @@
         }
     }
 
-    /** Inverts one bit of the newest file of a folder; the number selects the bit. */
+    /**
+     * Inverts one bit in the first half of the newest file of a folder; the number selects the bit. A store cannot tell
+     * a changed bit in the last frame of its log from a write that a crash cut off, and reports no damage.
+     */
     public static void flipBitInNewestFile(Path folder, long bitSelector) throws IOException {
         Path file = newestFile(folder);
         if (file != null) {
             byte[] bytes = Files.readAllBytes(file);
-            bytes[(int) Math.floorMod(bitSelector, (long) bytes.length)] ^= (byte) (1 << Math.floorMod(bitSelector, 8));
+            long candidates = Math.max(1, bytes.length / 2);
+            bytes[(int) Math.floorMod(bitSelector, candidates)] ^= (byte) (1 << Math.floorMod(bitSelector, 8));
             Files.write(file, bytes);
         }
     }
--- a/src/test/java/gatefront/rehearsal/processes/ProcessPartsTest.java
+++ b/src/test/java/gatefront/rehearsal/processes/ProcessPartsTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -56,6 +57,18 @@
         assertNull(FolderFaults.newestFile(Files.createDirectory(dir.resolve("c"))));
     }
 
+    /** Guards against a flipped bit in the last frame of a store, which is no damage but the end of the log. */
+    @Test
+    void flippedBitIsInTheFirstHalfOfTheFile() throws IOException {
+        for (int selector = -100; selector < 100; selector++) {
+            byte[] intact = new byte[100];
+            Path file = Files.write(dir.resolve("file"), intact);
+            FolderFaults.flipBitInNewestFile(dir, selector);
+            int changed = Arrays.mismatch(intact, Files.readAllBytes(file));
+            assertTrue(changed >= 0 && changed < intact.length / 2, "byte " + changed + " of selector " + selector);
+        }
+    }
+
     @Test
     void manualDrainHoldsAcrossRestartsUntilUndoneOrReportedLost() {
         ManualDrainChecker checker = new ManualDrainChecker(500_000);
