--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gatefront.budget.ResourceAccount;
 import gatefront.budget.ResourceBudget;
 import gatefront.budget.ResourcePurpose;
 import java.io.IOException;
@@ -195,6 +196,26 @@
                 () -> fixture.agent.budget().account(ResourcePurpose.REQUESTS).bytes() == 0);
     }
 
+    /** Guards against bodies that stop when other bodies have left them the smallest window. */
+    @Test
+    void bodiesPassWholeThroughTheSmallestWindow() throws Exception {
+        byte[] body = randomBytes(MIB + 5);
+        fixture.server((message, socket) -> {
+            ScriptedPeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + message.body().length + "\r\n\r\n");
+            write(socket, message.body());
+        });
+        fixture.start();
+        for (ResourcePurpose purpose : List.of(ResourcePurpose.REQUESTS, ResourcePurpose.ANSWERS)) {
+            ResourceAccount account = fixture.agent.budget().account(purpose);
+            account.add(0, account.bytesCap() / 2);
+        }
+        Socket socket = fixture.dial();
+        String head = fixture.request("order", 8_000, "");
+        ScriptedPeer.write(socket, head.replace("Content-Length: 0", "Content-Length: " + body.length));
+        ScriptedPeer.daemon(() -> write(socket, body));
+        assertArrayEquals(body, ScriptedPeer.read(socket.getInputStream()).body());
+    }
+
     /** The request never ran, since its last byte was never sent: the client is told that it may retry safely. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
+++ b/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.agent.ThriftTestService.Args;
 import gatefront.agent.ThriftTestService.Processor;
@@ -15,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TMessageType;
 import org.apache.thrift.transport.TSocket;
@@ -139,9 +142,7 @@
         String request = fixture.request("lookup", 8_000, "");
         ScriptedPeer.write(client, request.substring(0, 30));
         AgentFixture.awaitInputRead(fixture.agent);
-        reload(fixture.agent, fixture.config, settings -> ((com.fasterxml.jackson.databind.node.ArrayNode)
-                        settings.get("classes"))
-                .remove(0));
+        reload(fixture.agent, fixture.config, settings -> ((ArrayNode) settings.get("classes")).remove(0));
         ScriptedPeer.write(client, request.substring(30));
         assertEquals(200, ScriptedPeer.read(client.getInputStream()).status());
         assertEquals(400, fixture.call("lookup").status(), "a request that begins afterwards");
@@ -231,6 +232,37 @@
         }
     }
 
+    /** Guards against calls over Thrift that are still served after their class was dropped. */
+    @Test
+    void thriftCallOfADroppedClassIsAnUnknownMethod() throws Exception {
+        try (ThriftAgentFixture thrift = new ThriftAgentFixture(FORMAT)) {
+            Processor server = thrift.server((method, args) -> failed());
+            thrift.start();
+            Socket client = thrift.dial();
+            reload(thrift.agent, thrift.config, settings -> ((ArrayNode) settings.get("classes")).remove(2));
+            client.getOutputStream().write(orderCall("dropped", 0, null, ""));
+            TApplicationException answer = assertThrows(TApplicationException.class, () -> readReply(client));
+            assertEquals(TApplicationException.UNKNOWN_METHOD, answer.getType());
+            assertEquals(0, server.calls.get());
+        }
+    }
+
+    /** Guards against a request that is judged by the settings under which the body of the one before it arrived. */
+    @Test
+    void requestBehindABodyThatArrivedBeforeTheReloadFollowsTheNewSettings() throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
+        fixture.start();
+        Socket client = fixture.dial();
+        String request = fixture.request("order", 8_000, "x".repeat(100));
+        ScriptedPeer.write(client, request.substring(0, request.length() - 50));
+        AgentFixture.awaitInputRead(fixture.agent);
+        reload(fixture.agent, fixture.config, settings -> setClass(settings, "order", "semantics", "safe"));
+        ScriptedPeer.write(client, request.substring(request.length() - 50));
+        assertEquals(200, ScriptedPeer.read(client.getInputStream()).status());
+        String get = fixture.request("lookup", 8_000, "").replace("lookup", "order");
+        assertEquals(200, AgentFixture.exchange(client, get).status());
+    }
+
     /** Guards against a request on a kept connection that is judged by the settings of the one before it. */
     @Test
     void requestThatBeginsAfterTheReloadFollowsTheNewSettings() throws Exception {
