At the cap of requests the slowest sender is refused, not the request that arrives

What callers saw: while clients that send bodies slowly, up to 64 KiB each, hold the cap of `requests`, every other request with a body gets 503, and Thrift calls lose their connection, until the senders' 2.5 s are over; with new ones, for as long as they come.

Cause: at the cap the request that asked for room was refused, whoever held it.

Fix: the request in part that has been arriving for longest gives up its room (503 with Retry-After and the end of its connection over HTTP, the end of the connection over Thrift), if it has been arriving for 100 ms; only when there is none is the new one refused. None of them was forwarded. Its answer is written in a task of its own: closing a connection reads from others, which a decoder that is being read does not allow.

Tests: MemoryTest.slowestSenderIsRefusedForARequestThatArrivesWhole (before: 503 for the whole request) and ThriftAgentTest.slowestSenderIsClosedForACallThatArrivesWhole (6 formats; before: its connection closed) failed on the code before and pass; MemoryTest, ThriftAgentTest, BadClientsTest and LargeBodiesTest, 172 cases with the new ones, pass. Left: a body in part behind a request in progress of the same connection holds its bytes until that is answered.

--- a/src/main/java/gatefront/budget/ResourcePurpose.java
+++ b/src/main/java/gatefront/budget/ResourcePurpose.java
@@ -9,7 +9,10 @@
      * kept-alive one; if there is neither, the new connection is not accepted.
      */
     CALLER_CONNECTIONS,
-    /** Requests received in part or in full, with their bodies. At the cap, refused with Retry-After. */
+    /**
+     * Requests received in part or in full, with their bodies. At the cap, those in part are refused that have been
+     * arriving for longest; if there are none, new ones are refused with Retry-After.
+     */
     REQUESTS,
     /** Accepted requests in progress, with their timers and names. At the cap, refused with Retry-After. */
     CALLS,
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -17,6 +17,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -83,6 +84,9 @@
     /** What a response holds besides its body: its head and the buffers' own objects. */
     private static final int RESPONSE_OVERHEAD_BYTES = 256;
 
+    /** While there is no memory for others, a request in part is discarded once it has been arriving for so long. */
+    private static final long MIN_DISCARD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Bounds the input that is read at once from a client that keeps sending what is not wanted yet. */
     private static final int MAX_READS_AHEAD = 16;
 
@@ -398,6 +402,15 @@
         return responseAccount.bytes() / MAX_RESPONSE_OVERCOMMIT > responseAccount.bytesCap();
     }
 
+    /** Returns the connection, other than the given one, whose request has been arriving for longest, or null. */
+    private Connection slowestSenderBeside(Connection excluded) {
+        long nowNanos = transport.nanos();
+        return connectionsByState.get(State.READING_REQUEST).stream()
+                .filter(connection -> connection != excluded && connection.isDiscardable(nowNanos))
+                .max(Comparator.comparingLong(connection -> nowNanos - connection.requestSinceNanos))
+                .orElse(null);
+    }
+
     private List<Connection> expired(State state, long timeoutNanos) {
         long sinceNanos = transport.nanos() - timeoutNanos;
         return connectionsByState.get(state).stream()
@@ -415,6 +428,8 @@
         private long stateSinceNanos;
         /** Active time of the frontend when the state was entered. */
         private long stateSinceActiveNanos;
+        /** When the request that is being received began to arrive. */
+        private long requestSinceNanos;
         /** Bytes that the bodies of its requests hold in memory. */
         private int heldBytes;
         /** Bytes of responses that have not been written yet. */
@@ -434,6 +449,12 @@
         /** Called when the rest of a partly received request has not arrived in time. */
         protected abstract void onReadTimeout();
 
+        /**
+         * Called when the request that is being received was discarded to make room for others; the client is told so,
+         * and the connection closed.
+         */
+        protected abstract void onRequestDiscarded();
+
         /** Called when the connection has been closed; no more responses can be sent. */
         protected abstract void onClosed();
 
@@ -463,19 +484,30 @@
             if (state != null) {
                 connectionsByState.get(state).remove(this);
             }
+            long nowNanos = transport.nanos();
+            if (newState == State.READING_REQUEST && state != State.READING_REQUEST) {
+                requestSinceNanos = nowNanos;
+            }
             state = newState;
-            stateSinceNanos = transport.nanos();
+            stateSinceNanos = nowNanos;
             stateSinceActiveNanos = activeTime.elapsedNanos();
             if (state != null) {
                 connectionsByState.get(state).add(this);
             }
         }
 
-        /** Reserves bytes for request bodies; returns false, and reserves nothing, if the budget is exhausted. */
+        /**
+         * Reserves bytes for request bodies. If the budget is exhausted, the requests in part are discarded that have
+         * been arriving for longest; returns false, and reserves nothing, if there are none but this one.
+         */
         protected final boolean reserve(int bytes) {
-            // Guards against running out of memory.
-            if (!requestAccount.tryGrow(bytes)) {
-                return false;
+            // Guards against running out of memory, and against slow senders that have others refused.
+            while (!requestAccount.tryGrow(bytes)) {
+                Connection slowest = slowestSenderBeside(this);
+                if (slowest == null) {
+                    return false;
+                }
+                slowest.discardRequest();
             }
             heldBytes += bytes;
             return true;
@@ -631,6 +663,28 @@
             }
         }
 
+        private boolean isDiscardable(long nowNanos) {
+            return heldBytes > 0 && !ignoresInput && nowNanos - requestSinceNanos >= MIN_DISCARD_NANOS;
+        }
+
+        /** Gives up the request that is being received; what it holds may be used at once. */
+        private void discardRequest() {
+            traceEvent("its request in part is discarded after " + heldBytes + " bytes, " + requestAccount.bytes()
+                    + " bytes are held of at most " + requestAccount.bytesCap());
+            ignoresInput = true;
+            channel.config().setAutoRead(false);
+            release(heldBytes);
+            // As a task, and not while a channel is being read: closing reads from other channels.
+            transport.loop().execute(() -> {
+                if (state == State.READING_REQUEST) {
+                    onRequestDiscarded();
+                }
+                if (state == State.READING_REQUEST) {
+                    close("its request was discarded"); // no error could be sent, as the client does not read either
+                }
+            });
+        }
+
         /** Reads what has arrived; returns whether the state of the connection is still the same. */
         private boolean isSilent() {
             State stateBefore = state;
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -293,6 +293,12 @@
             processNext();
         }
 
+        @Override
+        protected void onRequestDiscarded() {
+            rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            processNext();
+        }
+
         @Override
         protected void onClosed() {
             pipelined.clear();
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -257,6 +257,11 @@
             stopReading();
         }
 
+        @Override
+        protected void onRequestDiscarded() {
+            stopReading();
+        }
+
         /** Stops reading; the connection is closed once the requests received so far have been answered. */
         private void stopReading() {
             ignoresInput = true;
--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -130,6 +130,26 @@
                 3_000, account(ResourcePurpose.REQUESTS).get("bytes_highest").asLong());
     }
 
+    /** Guards against slow senders that hold all memory for requests, so that others are refused. */
+    @Test
+    void slowestSenderIsRefusedForARequestThatArrivesWhole() throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
+        start(capTable(ResourcePurpose.REQUESTS, "kib = 4"));
+        Socket slow = fixture.dial();
+        String half = fixture.request("pay", 8_000, "x".repeat(3_000));
+        ScriptedPeer.write(slow, half.substring(0, half.length() - 100));
+        AgentFixture.await(() -> account(ResourcePurpose.REQUESTS).get("bytes").asLong() == 2_900);
+        Thread.sleep(150); // longer than any client needs that sends at once
+        ScriptedPeer.Message whole =
+                AgentFixture.exchange(fixture.dial(), fixture.request("pay", 8_000, "x".repeat(2_000)));
+        assertEquals(200, whole.status());
+        ScriptedPeer.Message refused = ScriptedPeer.read(slow.getInputStream());
+        assertEquals(503, refused.status());
+        assertNotNull(refused.header("Retry-After"));
+        assertEquals("close", refused.header("Connection"));
+        awaitEmpty(ResourcePurpose.REQUESTS);
+    }
+
     @Test
     void clientDisconnectMidBodyReleasesWhatWasReceived() throws Exception {
         fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
--- a/src/test/java/gatefront/agent/ThriftAgentTest.java
+++ b/src/test/java/gatefront/agent/ThriftAgentTest.java
@@ -10,6 +10,7 @@
 import gatefront.agent.ThriftTestService.Client;
 import gatefront.agent.ThriftTestService.Processor;
 import gatefront.agent.ThriftTestService.Result;
+import gatefront.budget.ResourceAccount;
 import gatefront.budget.ResourcePurpose;
 import gatefront.thrift.codec.MessageFormat;
 import gatefront.thrift.codec.ThriftEncoding;
@@ -490,6 +491,28 @@
         }
     }
 
+    /** Guards against slow senders that hold all memory for requests, so that others are refused. */
+    @ParameterizedTest
+    @MethodSource("formats")
+    void slowestSenderIsClosedForACallThatArrivesWhole(MessageFormat format) throws Exception {
+        try (ThriftAgentFixture fixture = new ThriftAgentFixture(format)) {
+            fixture.server((method, args) -> served("done"));
+            fixture.start();
+            ResourceAccount account = fixture.agent.budget().account(ResourcePurpose.REQUESTS);
+            long other = account.bytesCap() - 45_000;
+            account.add(0, other);
+            byte[] call = ThriftAgentFixture.message(
+                    format, "order", TMessageType.CALL, 1, args("order", 8_000, "x".repeat(50_000)));
+            Socket slow = fixture.dial();
+            slow.getOutputStream().write(call, 0, 40_000);
+            awaitBytes(fixture, ResourcePurpose.REQUESTS, other + 39_990, other + 40_000);
+            Thread.sleep(150); // longer than any client needs that sends at once
+            assertEquals("done", fixture.client().call("order", args("order", 8_000, "x".repeat(20_000))).success);
+            assertEquals(-1, slow.getInputStream().read());
+            awaitBytes(fixture, ResourcePurpose.REQUESTS, other, other);
+        }
+    }
+
     /** Guards against memory exhausted by replies that servers send in part, which no account contained. */
     @ParameterizedTest
     @MethodSource("formats")
