A test of the longest permitted heads on all connections of an agent

Need: heads in part and of requests in progress are in no account; what bounds them is a head's limits times the connections. With the limit of 100 fields that is some 25 KB each.

Change: SlowPeersTest.longestHeadsOnAllConnectionsDoNotStopTheAgent, 480 connections with a line of 4 KB and 97 fields of 7.5 KB in all, in part and in progress, of an agent with the memory limits of the deploy file.

--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -1,5 +1,6 @@
 package gatefront.agent;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -40,6 +41,9 @@
 @Timeout(120)
 class SlowPeersTest {
     private static final int SLOW_PEERS = 300;
+    /** Near the limit of an agent on connections to clients. */
+    private static final int MAX_CONNECTIONS = 480;
+
     private static final int SERVERS = 8;
     private static final int MIB = 1 << 20;
     private static final MessageFormat FORMAT = new MessageFormat(true, ThriftEncoding.BINARY);
@@ -294,6 +298,27 @@
         assertOthersAreAnswered();
     }
 
+    /** Guards against memory exhausted by heads at all their limits, on as many connections as there may be. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void longestHeadsOnAllConnectionsDoNotStopTheAgent(boolean whole) throws Exception {
+        serve((message, socket) -> {}); // never answered
+        startAgent();
+        String plain = fixture.request("lookup", 8_000, "").replace("?q=1", "?q=" + "x".repeat(3_900));
+        StringBuilder head = new StringBuilder(plain.substring(0, plain.length() - 2));
+        for (int i = 0; i < 92; i++) {
+            head.append("field-").append(i).append(": ").append("x".repeat(70)).append("\r\n");
+        }
+        ScriptedPeer.Message permitted = AgentFixture.exchange(agent.dial(), head + "Short: 1\r\n\r\n");
+        assertEquals(200, permitted.status());
+        String sent = head + (whole ? "\r\n" : "");
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            Socket client = agent.dial();
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, sent));
+        }
+        assertOthersAreAnswered();
+    }
+
     /** Guards against memory exhausted by servers that never finish their responses. */
     @ParameterizedTest
     @ValueSource(ints = {LARGEST_WHOLE_BODY, MIB})
