--- a/src/test/java/gatefront/agent/AgentProcess.java
+++ b/src/test/java/gatefront/agent/AgentProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -35,20 +36,19 @@
      * @param extensions text of the extensions file; empty for none
      */
     AgentProcess(Path folder, ObjectNode config, String extensions) throws IOException {
+        this(folder, config, extensions, Map.of());
+    }
+
+    /**
+     * Starts an agent with more variables in its environment and waits until it is ready. One that starts in the folder
+     * of another agent, on the same address, is its successor in an upgrade.
+     */
+    AgentProcess(Path folder, ObjectNode config, String extensions, Map<String, String> environment)
+            throws IOException {
         configFile = Files.writeString(folder.resolve("config.json"), config.toString());
-        log = folder.resolve("agent.log");
-        List<String> command = new ArrayList<>(List.of("java"));
-        Matcher options = MEMORY_OPTION.matcher(Files.readString(Path.of("deploy/balancer.toml"))
-                .lines()
-                .filter(line -> line.startsWith("run = "))
-                .findFirst()
-                .orElseThrow());
-        while (options.find()) {
-            command.add(options.group());
-        }
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gatefront.cli.Main", "serve"));
+        log = Files.createTempFile(folder, "agent", ".log");
         ProcessBuilder builder =
-                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+                new ProcessBuilder(command()).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("RELAY_CONFIG", configFile.toString());
         builder.environment().put("TMPDIR", folder.toString());
         if (!extensions.isEmpty()) {
@@ -58,10 +58,25 @@
                             Files.writeString(folder.resolve("extensions.toml"), extensions)
                                     .toString());
         }
+        builder.environment().putAll(environment);
         process = builder.start();
         AgentFixture.await(this::isReady);
     }
 
+    private static List<String> command() throws IOException {
+        List<String> command = new ArrayList<>(List.of("java"));
+        Matcher options = MEMORY_OPTION.matcher(Files.readString(Path.of("deploy/balancer.toml"))
+                .lines()
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow());
+        while (options.find()) {
+            command.add(options.group());
+        }
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gatefront.cli.Main", "serve"));
+        return command;
+    }
+
     private boolean isReady() {
         if (!process.isAlive()) {
             throw new AssertionError("the agent has ended: " + log());
