Waiting heads are counted with what each field takes in memory

Cause: the account counted a head by its characters and 1 KB; 90 fields take over 10 KB.

What there is no room for is refused with 503, as before.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -57,8 +57,10 @@
             long sentNanos,
             int reservedHeadBytes) {}
 
-    /** What the head of a request takes besides its characters. */
+    /** What the head of a request takes besides its header fields. */
     private static final int HEAD_OVERHEAD_BYTES = 1 << 10;
+    /** What a header field takes besides its characters: its entry, and two strings with their arrays. */
+    private static final int FIELD_OVERHEAD_BYTES = 128;
     /** The heads that wait on one connection may take this multiple of the window of a streamed body. */
     private static final int MAX_QUEUED_HEAD_WINDOWS = 4;
     /** Pipelined requests on one connection before reading from it is paused. */
@@ -657,7 +659,9 @@
                         head.headers().iteratorCharSequence();
                 headers.hasNext(); ) {
             Map.Entry<CharSequence, CharSequence> header = headers.next();
-            bytes += header.getKey().length() + header.getValue().length();
+            bytes += FIELD_OVERHEAD_BYTES
+                    + header.getKey().length()
+                    + header.getValue().length();
         }
         return bytes;
     }
--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -298,6 +298,23 @@
         assertOthersAreAnswered();
     }
 
+    /** Guards against the same by as many fields as are permitted, in the heads of requests that wait behind others. */
+    @Test
+    void pipelinedHeadsOfShortFieldsDoNotStopTheAgent() throws Exception {
+        serveBodies(100);
+        for (int i = 0; i < SERVERS; i++) {
+            listSilentServer();
+        }
+        startAgent();
+        String plain = fixture.request("lookup", 8_000, "");
+        String request = plain.substring(0, plain.length() - 2) + "x:\r\n".repeat(90) + "\r\n";
+        for (int i = 0; i < SLOW_PEERS; i++) {
+            Socket client = agent.dial();
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, request.repeat(200)));
+        }
+        assertOthersAreAnswered();
+    }
+
     /** Guards against memory exhausted by heads at all their limits, on as many connections as there may be. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
