Tests of the review's fixes wait for stated times; four more guards are noticed

Need: two tests slept for a guessed time, steps of SlowPeersTest and ThriftAgentTest stood several times, and guards could be taken out without a test that fails.

Change: the tests sleep for the rule's own time, AbstractFrontend.MIN_DISCARD_MS; the pace of the watched requests has a name; startAgentBesideSilentServers, sendFromClients and sendPartOfCall hold the repeated steps. New: the order in which slow senders are discarded, responses without bodies, the heads that wait on one connection (MemoryTest), a stream of 31 s (LargeBodiesTest). The filter of streams with nothing unwritten is taken out: each write restarts their clock, and a server may be silent for 4 s of its 30 s, so that it never decided anything. Assertions are as they were.

--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -85,7 +85,7 @@
     private static final int RESPONSE_OVERHEAD_BYTES = 256;
 
     /** While there is no memory for others, a request in part is discarded once it has been arriving for so long. */
-    private static final long MIN_DISCARD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    public static final long MIN_DISCARD_MS = 100;
 
     /** Bounds the input that is read at once from a client that keeps sending what is not wanted yet. */
     private static final int MAX_READS_AHEAD = 16;
@@ -362,8 +362,7 @@
                 expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS),
                 "keep-alive timeout");
         expired(State.READING_REQUEST, READ_TIMEOUT_NANOS).forEach(Connection::timeOutIfSilent);
-        expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS).stream()
-                .filter(connection -> connection.unwrittenBytes > 0)
+        expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS)
                 .forEach(connection -> connection.close("the client reads nothing of a streamed response"));
         expired(State.WRITING_LAST_RESPONSE, LAST_WRITE_TIMEOUT_NANOS)
                 .forEach(connection -> connection.close("timeout of writing the last response"));
@@ -664,7 +663,9 @@
         }
 
         private boolean isDiscardable(long nowNanos) {
-            return heldBytes > 0 && !ignoresInput && nowNanos - requestSinceNanos >= MIN_DISCARD_NANOS;
+            return heldBytes > 0
+                    && !ignoresInput
+                    && nowNanos - requestSinceNanos >= TimeUnit.MILLISECONDS.toNanos(MIN_DISCARD_MS);
         }
 
         /** Gives up the request that is being received; what it holds may be used at once. */
--- a/src/test/java/gatefront/agent/LargeBodiesTest.java
+++ b/src/test/java/gatefront/agent/LargeBodiesTest.java
@@ -216,6 +216,24 @@
         assertArrayEquals(body, ScriptedPeer.read(socket.getInputStream()).body());
     }
 
+    /** Guards against a stream that is cut off after 30 s though its client reads all that comes. */
+    @Test
+    void streamThatTakesLongerThanAClientMayReadNothingIsWhole() throws Exception {
+        byte[] piece = randomBytes(100_000);
+        fixture.server((message, socket) -> {
+            ScriptedPeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + 12 * piece.length + "\r\n\r\n");
+            for (int i = 0; i < 12; i++) {
+                write(socket, piece);
+                Thread.sleep(i < 11 ? 2_800 : 0); // 31 s in all, and less than a server may be silent
+            }
+        });
+        fixture.start();
+        Socket socket = fixture.dial();
+        ScriptedPeer.write(socket, fixture.request("lookup", 8_000, ""));
+        assertEquals(
+                12 * piece.length, ScriptedPeer.read(socket.getInputStream()).body().length);
+    }
+
     /** The request never ran, since its last byte was never sent: the client is told that it may retry safely. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/src/test/java/gatefront/agent/MemoryTest.java
+++ b/src/test/java/gatefront/agent/MemoryTest.java
@@ -10,6 +10,7 @@
 import gatefront.budget.ResourceBudget;
 import gatefront.budget.ResourcePurpose;
 import gatefront.config.Config;
+import gatefront.connection.AbstractFrontend;
 import gatefront.toml.TomlException;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -139,7 +141,7 @@
         String half = fixture.request("pay", 8_000, "x".repeat(3_000));
         ScriptedPeer.write(slow, half.substring(0, half.length() - 100));
         AgentFixture.await(() -> account(ResourcePurpose.REQUESTS).get("bytes").asLong() == 2_900);
-        Thread.sleep(150); // longer than any client needs that sends at once
+        TimeUnit.MILLISECONDS.sleep(AbstractFrontend.MIN_DISCARD_MS);
         ScriptedPeer.Message whole =
                 AgentFixture.exchange(fixture.dial(), fixture.request("pay", 8_000, "x".repeat(2_000)));
         assertEquals(200, whole.status());
@@ -150,6 +152,61 @@
         awaitEmpty(ResourcePurpose.REQUESTS);
     }
 
+    /** Guards against a quick sender whose request is discarded while a slower one, begun before it, keeps its own. */
+    @Test
+    void requestThatBeganFirstIsDiscardedThoughItMadeProgressLast() throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
+        start(capTable(ResourcePurpose.REQUESTS, "kib = 4"));
+        Socket first = fixture.dial();
+        Socket second = fixture.dial();
+        String firstRequest = fixture.request("pay", 8_000, "x".repeat(2_000));
+        String secondRequest = fixture.request("pay", 8_000, "x".repeat(2_000));
+        int half = firstRequest.length() - 1_000;
+        ScriptedPeer.write(first, firstRequest.substring(0, half));
+        AgentFixture.await(() -> account(ResourcePurpose.REQUESTS).get("bytes").asLong() == 1_000);
+        ScriptedPeer.write(second, secondRequest.substring(0, half));
+        AgentFixture.await(() -> account(ResourcePurpose.REQUESTS).get("bytes").asLong() == 2_000);
+        ScriptedPeer.write(first, firstRequest.substring(half, half + 1));
+        AgentFixture.await(() -> account(ResourcePurpose.REQUESTS).get("bytes").asLong() == 2_001);
+        TimeUnit.MILLISECONDS.sleep(AbstractFrontend.MIN_DISCARD_MS);
+        String whole = fixture.request("pay", 8_000, "x".repeat(2_500));
+        assertEquals(200, AgentFixture.exchange(fixture.dial(), whole).status());
+        assertEquals(503, ScriptedPeer.read(first.getInputStream()).status());
+        assertEquals(
+                200,
+                AgentFixture.exchange(second, secondRequest.substring(half)).status());
+    }
+
+    /** Guards against responses without bodies that fill the memory, as no byte of them would be counted. */
+    @Test
+    void unreadResponsesWithoutBodiesAreCounted() throws Exception {
+        start("");
+        Socket client = fixture.dial();
+        ScriptedPeer.daemon(() -> {
+            while (true) {
+                ScriptedPeer.write(client, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_000));
+            }
+        });
+        AgentFixture.await(() -> account(ResourcePurpose.ANSWERS).get("entries").asLong() > 10
+                && account(ResourcePurpose.ANSWERS).get("bytes").asLong() > 0);
+    }
+
+    /** Guards against the heads of one connection that take the memory of all others' requests. */
+    @Test
+    void headsThatWaitOnOneConnectionAreLimited() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            fixture.server((message, socket) -> ScriptedPeer.respond(socket, 500, "", "failed")); // so it is repeated
+        }
+        start("");
+        String request = fixture.request("lookup", 8_000, "");
+        String longHead = request.substring(0, request.length() - 2) + "x:\r\n".repeat(90) + "\r\n";
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, longHead.repeat(64));
+        ScriptedPeer.read(client.getInputStream());
+        long most = account(ResourcePurpose.REQUESTS).get("bytes_highest").asLong();
+        assertTrue(most > 0 && most <= 128 << 10, most + " bytes of heads waited, expected at most 131072");
+    }
+
     @Test
     void clientDisconnectMidBodyReleasesWhatWasReceived() throws Exception {
         fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -59,6 +59,8 @@
     private static final Set<Integer> FINAL_STATUSES = Set.of(200, 502, 503, 504);
 
     private static final int WATCHED_SECONDS = 4;
+    /** Pace of the short requests that are watched. */
+    private static final long SHORT_REQUEST_INTERVAL_MS = 20;
 
     @TempDir
     private Path folder;
@@ -147,6 +149,23 @@
         });
     }
 
+    /** Starts an agent with as many servers that answer as such that never read. */
+    private void startAgentBesideSilentServers() throws IOException {
+        serveBodies(100);
+        for (int i = 0; i < SERVERS; i++) {
+            listSilentServer();
+        }
+        startAgent();
+    }
+
+    /** Sends the same bytes on this many connections. */
+    private void sendFromClients(int count, String sent) throws IOException {
+        for (int i = 0; i < count; i++) {
+            Socket client = agent.dial();
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, sent));
+        }
+    }
+
     private String shortRequest() {
         return fixture.request("lookup", TIMEOUT_MS, "").replace("\r\n\r\n", "\r\nShort: 1\r\n\r\n");
     }
@@ -169,7 +188,7 @@
                 socket.close();
                 socket = agent.dial();
             }
-            Thread.sleep(20);
+            Thread.sleep(SHORT_REQUEST_INTERVAL_MS);
         }
         assertTrue(answered > 0, "none was served");
         assertFalse(agent.log().contains("OutOfMemory"), agent.log());
@@ -208,11 +227,7 @@
     @ParameterizedTest
     @CsvSource({"60000,300", "8000000,300", "8000000,40"})
     void serversThatDoNotReadRequestsDoNotStopTheAgent(int bytes, int uploads) throws Exception {
-        serveBodies(100);
-        for (int i = 0; i < SERVERS; i++) {
-            listSilentServer();
-        }
-        startAgent();
+        startAgentBesideSilentServers();
         for (int i = 0; i < uploads; i++) {
             Socket client = agent.dial();
             String head = fixture.request("order", 8_000, "").replace("Length: 0", "Length: " + bytes);
@@ -236,30 +251,17 @@
                     case "body" -> fixture.request("order", 8_000, "x".repeat(60_000));
                     default -> fixture.request("order", 8_000, "x".repeat(2_000_000));
                 };
-        for (int i = 0; i < SLOW_PEERS; i++) {
-            Socket client = agent.dial();
-            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, request.substring(0, request.length() - 10)));
-        }
+        sendFromClients(SLOW_PEERS, request.substring(0, request.length() - 10));
         assertOthersAreAnswered();
     }
 
     /** Guards against memory exhausted by the heads of requests that wait behind others. */
     @Test
     void pipelinedRequestsWithLongHeadsDoNotStopTheAgent() throws Exception {
-        serveBodies(100);
-        for (int i = 0; i < SERVERS; i++) {
-            listSilentServer();
-        }
-        startAgent();
-        for (int i = 0; i < SLOW_PEERS; i++) {
-            Socket client = agent.dial();
-            StringBuilder pipelined = new StringBuilder();
-            for (int j = 0; j < 60; j++) {
-                pipelined.append(fixture.request("lookup", 8_000, "")
-                        .replace("\r\n\r\n", "\r\nFiller: " + "x".repeat(7_500) + "\r\n\r\n"));
-            }
-            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, pipelined.toString()));
-        }
+        startAgentBesideSilentServers();
+        String request = fixture.request("lookup", 8_000, "");
+        String longHead = request.substring(0, request.length() - 2) + "Filler: " + "x".repeat(7_500) + "\r\n\r\n";
+        sendFromClients(SLOW_PEERS, longHead.repeat(60));
         assertOthersAreAnswered();
     }
 
@@ -276,11 +278,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"head in part", "in progress", "pipelined", "trailers"})
     void headsOfManyShortFieldsDoNotStopTheAgent(String state) throws Exception {
-        serveBodies(100);
-        for (int i = 0; i < SERVERS; i++) {
-            listSilentServer();
-        }
-        startAgent();
+        startAgentBesideSilentServers();
         String plain = fixture.request("lookup", 8_000, "");
         String request = plain.substring(0, plain.length() - 2) + manyShortFields();
         String sent =
@@ -292,27 +290,17 @@
                                     .replace("Content-Length: 0", "Transfer-Encoding: chunked")
                             + "0\r\n" + manyShortFields();
                 };
-        for (int i = 0; i < SLOW_PEERS; i++) {
-            Socket client = agent.dial();
-            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, sent));
-        }
+        sendFromClients(SLOW_PEERS, sent);
         assertOthersAreAnswered();
     }
 
     /** Guards against the same by as many fields as are permitted, in the heads of requests that wait behind others. */
     @Test
     void pipelinedHeadsOfShortFieldsDoNotStopTheAgent() throws Exception {
-        serveBodies(100);
-        for (int i = 0; i < SERVERS; i++) {
-            listSilentServer();
-        }
-        startAgent();
+        startAgentBesideSilentServers();
         String plain = fixture.request("lookup", 8_000, "");
         String request = plain.substring(0, plain.length() - 2) + "x:\r\n".repeat(90) + "\r\n";
-        for (int i = 0; i < SLOW_PEERS; i++) {
-            Socket client = agent.dial();
-            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, request.repeat(200)));
-        }
+        sendFromClients(SLOW_PEERS, request.repeat(200));
         assertOthersAreAnswered();
     }
 
@@ -330,10 +318,7 @@
         ScriptedPeer.Message permitted = AgentFixture.exchange(agent.dial(), head + "Short: 1\r\n\r\n");
         assertEquals(200, permitted.status());
         String sent = head + (whole ? "\r\n" : "");
-        for (int i = 0; i < MAX_CONNECTIONS; i++) {
-            Socket client = agent.dial();
-            ScriptedPeer.daemon(() -> ScriptedPeer.write(client, sent));
-        }
+        sendFromClients(MAX_CONNECTIONS, sent);
         assertOthersAreAnswered();
     }
 
@@ -375,7 +360,7 @@
             served += served(listen, "short-" + i).equals("served") ? 1 : 0;
             long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
             assertTrue(elapsedMs <= TIMEOUT_MS + LATE_MS, "answered after " + elapsedMs + " ms");
-            Thread.sleep(20);
+            Thread.sleep(SHORT_REQUEST_INTERVAL_MS);
         }
         return served;
     }
--- a/src/test/java/gatefront/agent/ThriftAgentTest.java
+++ b/src/test/java/gatefront/agent/ThriftAgentTest.java
@@ -12,6 +12,7 @@
 import gatefront.agent.ThriftTestService.Result;
 import gatefront.budget.ResourceAccount;
 import gatefront.budget.ResourcePurpose;
+import gatefront.connection.AbstractFrontend;
 import gatefront.thrift.codec.MessageFormat;
 import gatefront.thrift.codec.ThriftEncoding;
 import java.net.Socket;
@@ -474,6 +475,17 @@
         });
     }
 
+    /** Sends 40,000 bytes of a call, and returns the connection once they are counted. */
+    private static Socket sendPartOfCall(ThriftAgentFixture fixture, MessageFormat format) throws Exception {
+        long before = fixture.agent.budget().account(ResourcePurpose.REQUESTS).bytes();
+        byte[] call = ThriftAgentFixture.message(
+                format, "order", TMessageType.CALL, 1, args("order", 8_000, "x".repeat(50_000)));
+        Socket client = fixture.dial();
+        client.getOutputStream().write(call, 0, 40_000);
+        awaitBytes(fixture, ResourcePurpose.REQUESTS, before + 39_990, before + 40_000);
+        return client;
+    }
+
     /** Guards against memory exhausted by calls that clients send in part, which no account contained. */
     @ParameterizedTest
     @MethodSource("formats")
@@ -481,11 +493,7 @@
         try (ThriftAgentFixture fixture = new ThriftAgentFixture(format)) {
             fixture.server((method, args) -> served("done"));
             fixture.start();
-            byte[] call = ThriftAgentFixture.message(
-                    format, "order", TMessageType.CALL, 1, args("order", 8_000, "x".repeat(50_000)));
-            Socket client = fixture.dial();
-            client.getOutputStream().write(call, 0, 40_000);
-            awaitBytes(fixture, ResourcePurpose.REQUESTS, 39_990, 40_000);
+            Socket client = sendPartOfCall(fixture, format);
             client.close();
             awaitBytes(fixture, ResourcePurpose.REQUESTS, 0, 0);
         }
@@ -501,12 +509,8 @@
             ResourceAccount account = fixture.agent.budget().account(ResourcePurpose.REQUESTS);
             long other = account.bytesCap() - 45_000;
             account.add(0, other);
-            byte[] call = ThriftAgentFixture.message(
-                    format, "order", TMessageType.CALL, 1, args("order", 8_000, "x".repeat(50_000)));
-            Socket slow = fixture.dial();
-            slow.getOutputStream().write(call, 0, 40_000);
-            awaitBytes(fixture, ResourcePurpose.REQUESTS, other + 39_990, other + 40_000);
-            Thread.sleep(150); // longer than any client needs that sends at once
+            Socket slow = sendPartOfCall(fixture, format);
+            TimeUnit.MILLISECONDS.sleep(AbstractFrontend.MIN_DISCARD_MS);
             assertEquals("done", fixture.client().call("order", args("order", 8_000, "x".repeat(20_000))).success);
             assertEquals(-1, slow.getInputStream().read());
             awaitBytes(fixture, ResourcePurpose.REQUESTS, other, other);
