A response whose body comes late is not cut off at its attempt's timeout

Cause: a response without a length is buffered until some of its body is there after 200 ms; until then the attempt's timeout, and behind it the client's deadline, ended the attempt as if nothing had come. Responses with a length over 64 KiB are streamed from the head on.

Change: a timeout or deadline that is due begins to stream a response whose head has arrived and whose length is not known (Attempt.streamBegunResponse); its first bytes are then in time, and a stall of 4 s ends it as before.

A server that hangs right behind such a head can no longer be replaced by another: that is the price of not cutting off one that is slow. Responses of at most 64 KiB with a length are not concerned: they are due whole.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -535,13 +535,21 @@
         }
 
         private void timedOut() {
-            readArrivedResponse();
-            if (responseStream
-                    == null) { // else what has just been read begins a streamed response, which has no timeout
+            if (!streamBegunResponse()) {
                 end(connection == null && localFailures > 0 ? Outcome.NEVER_SENT : Outcome.TIMEOUT);
             }
         }
 
+        /** A streamed response has no timeout. What has just been read may begin one, too. */
+        @Override
+        public boolean streamBegunResponse() {
+            readArrivedResponse();
+            if (!ended && responseStream == null && connection != null) {
+                connection.reader.streamBegunResponse(this);
+            }
+            return !ended && responseStream != null;
+        }
+
         /** Guards against blaming the server for a response that arrived while the loop was held up. */
         private void readArrivedResponse() {
             if (!ended && connection != null) {
@@ -602,6 +610,7 @@
     protected final class Connection extends ChannelInitializer<Channel> {
         private final Pool pool;
         private Channel channel;
+        private Reader reader;
         private Attempt attempt;
         private long idleSinceNanos;
 
@@ -631,8 +640,15 @@
         /** Creates a reader for {@code connection}. */
         protected Reader(Connection connection) {
             this.connection = connection;
+            connection.reader = this;
         }
 
+        /**
+         * Begins to stream the attempt's response, in protocols that can, if its head has arrived and its length is not
+         * known.
+         */
+        protected void streamBegunResponse(Attempt attempt) {}
+
         /**
          * Handles a decoded message.
          *
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -444,11 +444,21 @@
     private long startDeadlineTimer(Pending pending, long sentNanos) {
         long elapsedMicros = (transport.nanos() - sentNanos) / 1000;
         long remainingMicros = Math.max(0, 1000 * pending.request.timeoutMs() - DEADLINE_MARGIN_MICROS - elapsedMicros);
-        pending.deadlineTimer = loop.schedule(
-                () -> failPending(pending, Exchange.Failure.TIME_UP), remainingMicros, TimeUnit.MICROSECONDS);
+        pending.deadlineTimer =
+                loop.schedule(() -> deadlinePassed(pending), remainingMicros, TimeUnit.MICROSECONDS);
         return remainingMicros;
     }
 
+    /** Fails a request unless a server has begun a response that can be streamed to the client. */
+    private void deadlinePassed(Pending pending) {
+        for (Upstream.Attempt attempt : pending.attempts) {
+            if (attempt.streamBegunResponse()) {
+                return;
+            }
+        }
+        failPending(pending, Exchange.Failure.TIME_UP);
+    }
+
     /** Returns whether a class's limit admits another request; refusals are logged at a limited rate. */
     private boolean admit(int requestClass) {
         boolean admitted = classLimits.hasCapacity(requestClass);
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -48,6 +48,16 @@
     interface Attempt {
         /** Stops the attempt; if it has no result yet, that is {@link Outcome#CANCELLED}. */
         void cancel();
+
+        /**
+         * Streams the response from now on if its head has arrived and its length is not known. To be called when the
+         * time for a response has passed: what the server is still sending is not cut off.
+         *
+         * @return whether the response is being streamed
+         */
+        default boolean streamBegunResponse() {
+            return false;
+        }
     }
 
     /** Applies one entry of the server list. */
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -221,6 +221,16 @@
             });
         }
 
+        @Override
+        protected void streamBegunResponse(Attempt attempt) {
+            if (head != null
+                    && stream == null
+                    && head.status().code() == 200
+                    && StrictHttpDecoders.framing(head.headers()) < 0) {
+                beginStreaming(attempt);
+            }
+        }
+
         private boolean addBody(Attempt attempt, HttpContent content) {
             int length = content.content().readableBytes();
             if (stream == null && body.readableBytes() + length > MAX_BUFFERED_BODY_BYTES) {
