A long request is answered in its client's time, however slowly a server reads it

Cause: while a body was streamed no timer ran, and after it the client's time counted from the last byte written to the server. A client's time counts from its own last byte, which may lie unread in the agent's socket while reading is paused for a slow server.

Change: the producer of a streamed body tells since when its client may have sent the last byte: now as long as it is known to be sending (nothing unread, or more of the stated length missing than what is unread and the client's system could hold), else the last time that it was. The deadline is checked against that every 50 ms while the body is streamed, and after it. Servers are told what is left of it.

Where a chunked body lies unread its end is not known; it is then taken to be there, so that a sound upload to a server slower than its client may fail in time instead of being served late.

--- a/src/main/java/gatefront/engine/BodyStream.java
+++ b/src/main/java/gatefront/engine/BodyStream.java
@@ -22,6 +22,12 @@
 
         /** The consumer needs no further chunks. */
         void onCancel();
+
+        /**
+         * Returns since when the sender may have sent the whole body, on the clock of the transport: now if it is known
+         * to be still sending.
+         */
+        long mayBeSentSinceNanos();
     }
 
     /**
@@ -124,6 +130,14 @@
         }
     }
 
+    /**
+     * Returns since when the sender may have sent the whole body, on the clock of the transport. Bytes that it has sent
+     * may not have been read, as the producer pauses while the consumer is slow.
+     */
+    public long mayBeSentSinceNanos() {
+        return producer.mayBeSentSinceNanos();
+    }
+
     /** Returns the number of bytes passed to the consumer so far. */
     public long transferredBytes() {
         return transferredBytes;
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -29,6 +29,8 @@
 public final class Engine implements Balancer.Actions {
     /** Advised wait before a retry of a refused request where the module gives none, in microseconds. */
     public static final long RETRY_AFTER_MICROS = 250_000;
+    /** Interval at which it is checked whether the client of a streamed request is still sending, in microseconds. */
+    private static final long UPLOAD_CHECK_MICROS = 50_000;
     /** Part of the client's timeout reserved for late timers and for sending the response, in microseconds. */
     private static final long DEADLINE_MARGIN_MICROS = 10_000;
 
@@ -442,13 +444,34 @@
      * microseconds, 0 if it has passed already.
      */
     private long startDeadlineTimer(Pending pending, long sentNanos) {
-        long elapsedMicros = (transport.nanos() - sentNanos) / 1000;
-        long remainingMicros = Math.max(0, 1000 * pending.request.timeoutMs() - DEADLINE_MARGIN_MICROS - elapsedMicros);
-        pending.deadlineTimer =
-                loop.schedule(() -> deadlinePassed(pending), remainingMicros, TimeUnit.MICROSECONDS);
+        long remainingMicros = remainingMicros(pending, sentNanos);
+        pending.deadlineTimer = loop.schedule(() -> deadlinePassed(pending), remainingMicros, TimeUnit.MICROSECONDS);
         return remainingMicros;
     }
 
+    private long remainingMicros(Pending pending, long sentNanos) {
+        long elapsedMicros = (transport.nanos() - sentNanos) / 1000;
+        return Math.max(0, 1000 * pending.request.timeoutMs() - DEADLINE_MARGIN_MICROS - elapsedMicros);
+    }
+
+    /**
+     * Fails a request whose body is being streamed once the client's timeout has passed since it may have sent the last
+     * byte. Until then checks again after a while, as the client may still be sending.
+     */
+    private void scheduleUploadCheck(Pending pending, BodyStream upload) {
+        long remainingMicros = remainingMicros(pending, upload.mayBeSentSinceNanos());
+        pending.deadlineTimer = loop.schedule(
+                () -> {
+                    if (remainingMicros(pending, upload.mayBeSentSinceNanos()) == 0) {
+                        deadlinePassed(pending);
+                    } else {
+                        scheduleUploadCheck(pending, upload);
+                    }
+                },
+                Math.min(remainingMicros, UPLOAD_CHECK_MICROS),
+                TimeUnit.MICROSECONDS);
+    }
+
     /** Fails a request unless a server has begun a response that can be streamed to the client. */
     private void deadlinePassed(Pending pending) {
         for (Upstream.Attempt attempt : pending.attempts) {
@@ -697,9 +720,11 @@
             if (isTracing()) {
                 traceEvent(pending.request, "attempt " + attempt + " written");
             }
-            if (pending.request.payload().bodyStream() != null && !pending.answered) {
-                // Both the timeout and the latency count from the last byte.
-                startDeadlineTimer(pending, transport.nanos());
+            BodyStream upload = pending.request.payload().bodyStream();
+            if (upload != null && !pending.answered) {
+                // The client's time counts from its last byte, the latency from the server's.
+                pending.deadlineTimer.cancel(false);
+                startDeadlineTimer(pending, upload.mayBeSentSinceNanos());
                 latencyStartMicros = now();
             }
         }
@@ -707,6 +732,7 @@
         @Override
         public void onRequestStreaming() {
             pending.deadlineTimer.cancel(false);
+            scheduleUploadCheck(pending, pending.request.payload().bodyStream());
             reportStreaming();
         }
 
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -67,6 +67,10 @@
     private static final int MAX_PIPELINED = 4;
     /** Pipelined requests on one connection that are read ahead in search of the client's close. */
     private static final int MAX_READ_AHEAD = 64;
+    /** With fewer unread bytes than this in its socket, a client is not kept from sending: it has sent no more. */
+    private static final int MIN_FULL_QUEUE_BYTES = 16 << 10;
+    /** The most that a client's system holds of what the client has written: the largest buffer that Linux allots. */
+    private static final int MAX_SEND_BUFFER_BYTES = 4 << 20;
     /** A streamed request body of which nothing arrives for this long is aborted and its connection closed. */
     private static final long UPLOAD_STALL_TIMEOUT_MS = 2_500;
 
@@ -264,6 +268,9 @@
         /** The body that is being streamed to a server because it is too long to be buffered, or null. */
         private BodyStream upload;
 
+        /** Feeds {@link #upload}, or the body that was uploaded before. */
+        private UploadProducer uploadProducer;
+
         /** A streamed body whose last part has just been read, or null. */
         private BodyStream completedUpload;
 
@@ -364,6 +371,7 @@
                 addBody(content.content());
             }
             if (message instanceof LastHttpContent && !ignoresInput && upload != null) {
+                uploadProducer.complete = true;
                 completedUpload = upload;
                 upload = null;
             } else if (message instanceof LastHttpContent && !ignoresInput) {
@@ -383,6 +391,9 @@
                 completedUpload = null;
                 complete.complete();
             }
+            if (upload != null) {
+                uploadProducer.updateWhileSending();
+            }
             if (incomingConfig == null && decoder.isRequestStarted() && !receivesBody) {
                 incomingConfig = config;
             }
@@ -453,30 +464,8 @@
 
         /** Starts streaming the request body: first what has been received, then the rest as it arrives. */
         private void beginUpload() {
-            BodyStream stream = new BodyStream(
-                    new BodyStream.Producer() {
-                        @Override
-                        public void onConsumed(int bytes) {
-                            release(bytes);
-                        }
-
-                        @Override
-                        public void onResume() {
-                            if (!ignoresInput) {
-                                channel.config().setAutoRead(true);
-                            }
-                        }
-
-                        @Override
-                        public void onCancel() {
-                            // The response came before the body was complete: no further request is read, and the
-                            // connection is closed.
-                            ignoresInput = true;
-                            upload = null;
-                            channel.config().setAutoRead(true);
-                        }
-                    },
-                    requestWindow());
+            uploadProducer = new UploadProducer();
+            BodyStream stream = new BodyStream(uploadProducer, requestWindow());
             ByteBuf received = body;
             body = Unpooled.EMPTY_BUFFER;
             upload = stream;
@@ -486,6 +475,57 @@
             enqueue(new QueuedRequest(withBody(incomingRequest, stream, bodyFraming), null, keepAlive, sentNanos(), 0));
         }
 
+        /** Passes a request body on; while it is not read, it tells how far the client may be. */
+        private final class UploadProducer implements BodyStream.Producer {
+            /** When the client was last known to be still sending, or may have sent the last byte. */
+            private long mayBeSentSinceNanos = sentNanos();
+
+            private boolean complete;
+
+            @Override
+            public void onConsumed(int bytes) {
+                release(bytes);
+            }
+
+            @Override
+            public void onResume() {
+                if (!ignoresInput) {
+                    channel.config().setAutoRead(true);
+                }
+            }
+
+            /** The response came before the body was complete: no further request is read, and the connection closed. */
+            @Override
+            public void onCancel() {
+                ignoresInput = true;
+                upload = null;
+                channel.config().setAutoRead(true);
+            }
+
+            @Override
+            public long mayBeSentSinceNanos() {
+                updateWhileSending();
+                return mayBeSentSinceNanos;
+            }
+
+            /** Notes that the client is still sending if not even unread input can hold the end of the body. */
+            private void updateWhileSending() {
+                if (!complete && upload != null && isKnownToBeSending()) {
+                    mayBeSentSinceNanos = transport.nanos();
+                }
+            }
+
+            private boolean isKnownToBeSending() {
+                int unreadBytes = transport.unreadInputBytes(channel);
+                if (unreadBytes == Transport.UNKNOWN_BYTES) {
+                    return !upload.isPaused();
+                }
+                long remainingBytes = bodyFraming - uploadedBytes;
+                long sentBytes = unreadBytes < MIN_FULL_QUEUE_BYTES ? unreadBytes : unreadBytes + MAX_SEND_BUFFER_BYTES;
+                return unreadBytes == 0 || bodyFraming >= 0 && remainingBytes > sentBytes;
+            }
+        }
+
         /** Aborts a streamed request body, of which no server gets the whole, and responds with {@code status}. */
         private void abortUpload(HttpResponseStatus status) {
             BodyStream stream = upload;
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -38,6 +38,7 @@
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Sends requests to servers over HTTP/1.1, one at a time on each connection, and derives results from the responses.
@@ -87,12 +88,14 @@
 
     public static final byte[] NO_BODY = new byte[0];
 
+    private final Transport transport;
     private final LoadReportParser loadReportParser;
     private final OutgoingRequest probe;
 
     /** Creates an upstream without connections. */
     public HttpUpstream(Transport transport, Config config, int maxConnections, ResourceBudget budget) {
         super(transport, maxConnections, config.connectTimeoutMicros(), config.idleCloseMicros(), budget);
+        this.transport = transport;
         loadReportParser = new LoadReportParser(config.loadFields());
         probe = new OutgoingRequest(
                 HttpMethod.GET, config.loadByProbe() ? "/load" : "/healthz", new DefaultHttpHeaders(), NO_BODY);
@@ -132,10 +135,19 @@
         }
         if (millisLeft > 0) {
             headers.set(REQUEST_TIMEOUT, millisLeft);
+        } else if (request.bodyStream != null) {
+            headers.set(REQUEST_TIMEOUT, clientMillisLeft(request));
         }
         return message;
     }
 
+    /** Returns for how long the client of a streamed request may wait from now on, at least 1 ms. */
+    private long clientMillisLeft(OutgoingRequest request) {
+        long timeoutMs = StrictHttpDecoders.parseDigits(request.headers.get(REQUEST_TIMEOUT), 0);
+        long waitedNanos = transport.nanos() - request.bodyStream.mayBeSentSinceNanos();
+        return Math.max(1, timeoutMs - TimeUnit.NANOSECONDS.toMillis(waitedNanos));
+    }
+
     @Override
     protected Object bodyChunk(ByteBuf chunk) {
         return new DefaultHttpContent(chunk);
@@ -273,6 +285,11 @@
                         public void onCancel() {
                             attempt.cancel();
                         }
+
+                        @Override
+                        public long mayBeSentSinceNanos() {
+                            return transport.nanos(); // a response has no deadline
+                        }
                     },
                     responseWindow());
             stream = newStream;
--- a/src/main/java/gatefront/transport/SocketTransport.java
+++ b/src/main/java/gatefront/transport/SocketTransport.java
@@ -115,6 +115,11 @@
         return socket.recvBufAllocHandle().lastBytesRead() > 0;
     }
 
+    @Override
+    public int unreadInputBytes(Channel channel) {
+        return channel instanceof AcceptedChannel accepted ? accepted.unreadInputBytes() : UNKNOWN_BYTES;
+    }
+
     @Override
     public long maxMemoryBytes() {
         return Runtime.getRuntime().maxMemory();
@@ -140,18 +145,36 @@
         group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> onClosed.run());
     }
 
-    private static Channel useHeapBuffers(Channel connection) {
+    private static void useHeapBuffers(Channel connection) {
         connection.config().setAllocator(HeapBufferAllocator.INSTANCE);
-        return connection;
     }
 
-    /** A listening channel whose connections use {@link HeapBufferAllocator}. */
+    /** A listening channel that accepts {@link AcceptedChannel}s. */
     private static class ListeningChannel extends NioServerSocketChannel {
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
-            int count = super.doReadMessages(accepted);
-            accepted.forEach(connection -> useHeapBuffers((Channel) connection));
-            return count;
+            SocketChannel socket = javaChannel().accept();
+            if (socket == null) {
+                return 0;
+            }
+            accepted.add(new AcceptedChannel(this, socket));
+            return 1;
+        }
+    }
+
+    /** A connection of a client. It uses {@link HeapBufferAllocator}, and can tell how much input is unread. */
+    private static final class AcceptedChannel extends NioSocketChannel {
+        AcceptedChannel(Channel listener, SocketChannel socket) {
+            super(listener, socket);
+            useHeapBuffers(this);
+        }
+
+        int unreadInputBytes() {
+            try {
+                return javaChannel().socket().getInputStream().available();
+            } catch (IOException e) {
+                return UNKNOWN_BYTES;
+            }
         }
     }
 
@@ -166,7 +189,7 @@
                 for (SocketChannel accepted = javaChannel().accept();
                         accepted != null;
                         accepted = javaChannel().accept()) {
-                    pipeline().fireChannelRead(useHeapBuffers(new NioSocketChannel(this, accepted)));
+                    pipeline().fireChannelRead(new AcceptedChannel(this, accepted));
                 }
                 pipeline().fireChannelReadComplete();
             } catch (IOException e) {
--- a/src/main/java/gatefront/transport/Transport.java
+++ b/src/main/java/gatefront/transport/Transport.java
@@ -10,6 +10,9 @@
  * {@link io.netty.channel.socket.DuplexChannel}, and addresses are {@link java.net.InetSocketAddress}.
  */
 public interface Transport {
+    /** Stands for a number of bytes that cannot be determined. */
+    int UNKNOWN_BYTES = -1;
+
     /** Returns the event loop that runs all work of the process. */
     EventLoop loop();
 
@@ -72,6 +75,14 @@
         return false;
     }
 
+    /**
+     * Returns how many bytes have arrived on an accepted channel and have not been read, or {@link #UNKNOWN_BYTES}. To
+     * be called on the loop.
+     */
+    default int unreadInputBytes(Channel channel) {
+        return UNKNOWN_BYTES;
+    }
+
     /** Returns the maximum memory of the process, in bytes. */
     long maxMemoryBytes();
 
--- a/src/test/java/gatefront/agent/LateBodiesTest.java
+++ b/src/test/java/gatefront/agent/LateBodiesTest.java
@@ -104,8 +104,8 @@
         start.write(in.read());
         long firstByteMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
         assertTrue(firstByteMs <= timeoutMs + LATE_MS, "first byte after " + firstByteMs + " ms");
-        ScriptedPeer.Message response = ScriptedPeer.read(new java.io.SequenceInputStream(
-                new java.io.ByteArrayInputStream(start.toByteArray()), in));
+        ScriptedPeer.Message response = ScriptedPeer.read(
+                new java.io.SequenceInputStream(new java.io.ByteArrayInputStream(start.toByteArray()), in));
         assertEquals(200, response.status());
         assertArrayEquals(body, response.body());
         assertEquals(1, fixture.requestsReceived());
