No attempt begins while the client's close may lie behind unread input

Cause: before an attempt the agent reads ahead for the client's close, at most 16 reads and 64 requests, and not at all behind a body that is being streamed. Where more was unread it took the client for present. A close is then found only as the input before it is worked off.

Change: looking for the close has three results. If all that has arrived was read, the client is present or has left. If more has arrived than may be held, it is unknown, and the request is refused at once (failed where an attempt may have run); the next request frees what it held, so that the rest is read. A long body is read ahead, too, as far as its connection may hold.

What remains: of a client's own long body the end cannot be known before it is read; such a request is begun.

--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -4,6 +4,7 @@
 import gatefront.budget.ResourceBudget;
 import gatefront.budget.ResourcePurpose;
 import gatefront.budget.StreamWindow;
+import gatefront.engine.ClientPresence;
 import gatefront.engine.Frontend;
 import gatefront.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
@@ -89,6 +90,8 @@
 
     /** Bounds the input that is read at once from a client that keeps sending what is not wanted yet. */
     private static final int MAX_READS_AHEAD = 16;
+    /** What is read ahead on one connection may take this multiple of the window of a streamed body. */
+    private static final int MAX_READ_AHEAD_WINDOWS = 8;
 
     /**
      * How much later than it was sent a client's request may be counted. An idle loop polls its sockets at intervals of
@@ -462,20 +465,25 @@
             return state;
         }
 
-        /** Returns whether input may be read ahead, while reading is paused, to detect that the client has left. */
+        /** Returns whether more may be read ahead, while reading is paused, to detect that the client has left. */
         protected abstract boolean canReadAhead();
 
-        /** Reads what has arrived, and returns whether the client has closed the connection. */
-        protected final boolean hasClientLeft() {
-            transport.readArrivedInput(channel);
-            int reads = 0;
-            while (reads < MAX_READS_AHEAD
-                    && !channel.config().isAutoRead()
-                    && canReadAhead()
-                    && transport.readAhead(channel)) {
-                reads++;
+        /** Reads what has arrived, within bounds, and returns whether the client has closed the connection. */
+        protected final ClientPresence readClientPresence() {
+            boolean mayHaveMore = true;
+            for (int reads = 0; mayHaveMore && reads < MAX_READS_AHEAD && mayReadAhead(); reads++) {
+                mayHaveMore = transport.readAhead(channel);
+            }
+            if (!channel.isActive()) {
+                return ClientPresence.LEFT;
             }
-            return !channel.isActive();
+            return mayHaveMore ? ClientPresence.UNKNOWN : ClientPresence.PRESENT;
+        }
+
+        private boolean mayReadAhead() {
+            return channel.config().isAutoRead()
+                    || ignoresInput
+                    || canReadAhead() && heldBytes < MAX_READ_AHEAD_WINDOWS * requestWindow.bytes();
         }
 
         /** Enters a state and restarts its clock; null means that the connection is closed. */
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -351,7 +351,7 @@
             if (idle != null) {
                 write(idle);
             } else if (!listener.isStillWanted()) {
-                end(Outcome.CANCELLED);
+                end(Outcome.NEVER_SENT);
             } else if (ensureCapacity()) {
                 connect();
             } else {
@@ -399,7 +399,7 @@
                 return;
             }
             if (!listener.isStillWanted()) {
-                end(Outcome.CANCELLED);
+                end(Outcome.NEVER_SENT);
             } else if (ensureCapacity()) {
                 connect();
             } else {
@@ -510,7 +510,7 @@
             connection = idleOrNew;
             idleOrNew.attempt = this;
             if (!listener.isStillWanted()) {
-                end(Outcome.CANCELLED);
+                end(Outcome.NEVER_SENT);
                 return;
             }
             if (hasDeadline && transport.nanos() - deadlineNanos >= 0) {
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -99,6 +99,9 @@
         final Upstream upstream;
         final List<Upstream.Attempt> attempts = new ArrayList<>(1);
         int outstandingAttempts;
+        /** Attempts whose request was sent whole, less those that have proved not to have run. */
+        int attemptsSent;
+
         boolean answered;
         /** Whether a response is being streamed to the client. */
         boolean streaming;
@@ -504,14 +507,40 @@
         }
     }
 
-    /** Returns whether a request has no response yet and its client is waiting; if the client has left, it is ended. */
+    /**
+     * Returns whether a request has no response yet and its client is waiting. Otherwise the request is ended, also if
+     * the client's close may lie behind input that cannot be read yet.
+     */
     private boolean isAwaited(Pending pending) {
-        if (!pending.answered && pending.exchange.hasClientLeft()) {
-            abandonRequest(pending.exchange);
+        if (!pending.answered) {
+            switch (pending.exchange.clientPresence()) {
+                case PRESENT -> {}
+                case LEFT -> abandonRequest(pending.exchange);
+                case UNKNOWN -> endUnconfirmed(pending);
+            }
         }
         return !pending.answered;
     }
 
+    /** Ends a request whose client may have left: it is refused, unless an attempt may have run. */
+    private void endUnconfirmed(Pending pending) {
+        if (pending.answered) {
+            return; // reading has ended it
+        }
+        if (pending.attemptsSent > 0) {
+            traceEvent(pending.request, "failed: the client's close may lie behind unread input");
+            pending.exchange.failed(Exchange.Failure.NOT_SERVED);
+            counters.recordError(pending.request.requestClass());
+        } else {
+            traceEvent(pending.request, "refused: the client's close may lie behind unread input");
+            pending.exchange.refused(RETRY_AFTER_MICROS);
+            counters.recordShed(pending.request.requestClass());
+        }
+        markAnswered(pending);
+        dispatch(() -> balancer.clientLeft(now(), pending.id));
+        cancelAttempts(pending);
+    }
+
     /** Cancels the attempts that the module has left running after the request ended. */
     private void cancelAttempts(Pending pending) {
         pending.attempts.forEach(Upstream.Attempt::cancel);
@@ -695,6 +724,9 @@
         /** How long the server took until its response started; negative before that. */
         private long latencyMicros = -1;
 
+        /** Whether the whole request has been sent. */
+        private boolean sent;
+
         AttemptListener(Pending pending, int attempt, long server, long sentAtMicros) {
             this.pending = pending;
             this.attempt = attempt;
@@ -706,6 +738,9 @@
         @Override
         public void onResult(Upstream.Result result) {
             boolean served = result.outcome() == Balancer.Outcome.OK && latencyMicros >= 0;
+            if (sent && result.outcome().neverRan()) {
+                pending.attemptsSent--;
+            }
             attemptEnded(pending, attempt, server, served ? latencyMicros : now() - latencyStartMicros, result);
         }
 
@@ -717,6 +752,8 @@
         @Override
         public void onRequestSent() {
             counters.recordAttempt();
+            sent = true;
+            pending.attemptsSent++;
             if (isTracing()) {
                 traceEvent(pending.request, "attempt " + attempt + " written");
             }
--- a/src/main/java/gatefront/engine/Exchange.java
+++ b/src/main/java/gatefront/engine/Exchange.java
@@ -15,10 +15,10 @@
     }
 
     /**
-     * Returns whether the client has closed its connection. A close that has arrived counts, even if the loop has not
-     * read it yet because the process was held up or reading is paused.
+     * Returns whether the client is still there. A close that has arrived counts, even if the loop has not read it yet
+     * because the process was held up or reading is paused; what lies before it is read for that, within bounds.
      */
-    boolean hasClientLeft();
+    ClientPresence clientPresence();
 
     /** Responds with a server's response. */
     void served(Payload payload);
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -5,6 +5,7 @@
 import gatefront.connection.AbstractFrontend;
 import gatefront.connection.BufferLimits;
 import gatefront.engine.BodyStream;
+import gatefront.engine.ClientPresence;
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Engine;
 import gatefront.engine.Payload;
@@ -121,8 +122,8 @@
         }
 
         @Override
-        public boolean hasClientLeft() {
-            return connection.current != this || connection.isClosedByClient();
+        public ClientPresence clientPresence() {
+            return connection.current == this ? connection.clientPresence() : ClientPresence.LEFT;
         }
 
         @Override
@@ -287,13 +288,16 @@
             return writeResponse(response, bytes);
         }
 
-        private boolean isClosedByClient() {
-            return hasClientLeft();
+        /** Where the client is in the middle of the request's own body, what it has sent is not read to the end. */
+        private ClientPresence clientPresence() {
+            ClientPresence presence = readClientPresence();
+            boolean sendsItsBody = upload != null && pipelined.isEmpty();
+            return presence == ClientPresence.UNKNOWN && sendsItsBody ? ClientPresence.PRESENT : presence;
         }
 
         @Override
         protected boolean canReadAhead() {
-            return ignoresInput || upload == null && pipelined.size() < MAX_READ_AHEAD;
+            return pipelined.size() < MAX_READ_AHEAD;
         }
 
         @Override
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -3,6 +3,7 @@
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
 import gatefront.connection.AbstractFrontend;
+import gatefront.engine.ClientPresence;
 import gatefront.engine.ClientRequest;
 import gatefront.engine.Payload;
 import gatefront.engine.SettingsSnapshot;
@@ -95,8 +96,10 @@
         }
 
         @Override
-        public boolean hasClientLeft() {
-            return connection.inFlight.get(call.header().seqid()) != this || connection.isClosedByClient();
+        public ClientPresence clientPresence() {
+            return connection.inFlight.get(call.header().seqid()) == this
+                    ? connection.clientPresence()
+                    : ClientPresence.LEFT;
         }
 
         @Override
@@ -243,13 +246,13 @@
             processQueued();
         }
 
-        private boolean isClosedByClient() {
-            return hasClientLeft();
+        private ClientPresence clientPresence() {
+            return readClientPresence();
         }
 
         @Override
         protected boolean canReadAhead() {
-            return ignoresInput || queued.size() < MAX_READ_AHEAD;
+            return queued.size() < MAX_READ_AHEAD;
         }
 
         @Override
--- a/src/test/java/gatefront/agent/DepartedClientsTest.java
+++ b/src/test/java/gatefront/agent/DepartedClientsTest.java
@@ -1,6 +1,7 @@
 package gatefront.agent;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gatefront.agent.ThriftTestService.Args;
 import gatefront.agent.ThriftTestService.Processor;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Guards against forwarding a request whose client has closed its connection: where the close has arrived before an
@@ -31,6 +34,9 @@
     private static final int MANY_PIPELINED = 8;
 
     private static final int ROUNDS = 20;
+    private static final int MAX_THRIFT_CALLS_IN_PROGRESS = 32;
+    /** How long a client goes on writing before it leaves. */
+    private static final long WRITE_MS = 100;
 
     private AgentFixture fixture;
 
@@ -171,6 +177,104 @@
         assertEquals(0, forwarded("pay"));
     }
 
+    /** Writes as much as the sockets take, in the background, and then closes the connection. */
+    private void writeAndLeave(Socket client, String requests, boolean reset) throws Exception {
+        Thread writer = ScriptedPeer.daemon(() -> ScriptedPeer.write(client, requests));
+        writer.join(WRITE_MS);
+        if (reset) {
+            ScriptedPeer.reset(client);
+        } else {
+            client.close();
+        }
+    }
+
+    private static void awaitUnchecked(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private String manyRequests(String requestClass, int count, int bodyBytes) {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            requests.append(fixture.request(requestClass, 8_000, "x".repeat(bodyBytes)));
+        }
+        return requests.toString();
+    }
+
+    /** The client's close lies behind more input than the agent reads ahead. */
+    @ParameterizedTest
+    @CsvSource({
+        "8, 60000, false",
+        "12, 60000, false",
+        "40, 60000, true",
+        "100, 3500, false",
+        "300, 900, false",
+        "1500, 0, false",
+        "6, 200000, false",
+        "3, 1500000, false",
+    })
+    void requestsBehindMuchUnreadInputAreNotForwarded(int count, int bodyBytes, boolean reset) throws Exception {
+        CountDownLatch serve = new CountDownLatch(1);
+        fixture.server((message, socket) -> {
+            serve.await();
+            respond(message, socket);
+        });
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, fixture.request("lookup", 8_000, ""));
+        AgentFixture.await(() -> forwarded("lookup") == 1);
+        writeAndLeave(client, manyRequests("order", count, bodyBytes), reset);
+        pass(HOLD_MS);
+        serve.countDown();
+        settle();
+        settle();
+        assertEquals(0, forwarded("order"));
+    }
+
+    /** The request's first attempt is turned away after the client has left behind much that the agent has not read. */
+    @ParameterizedTest
+    @CsvSource({"12, 60000", "100, 3500", "1500, 0", "6, 200000"})
+    void requestBeforeMuchUnreadInputIsNotRetried(int count, int bodyBytes) throws Exception {
+        CountDownLatch fail = new CountDownLatch(1);
+        for (int server = 0; server < 2; server++) {
+            fixture.server((message, socket) -> {
+                fail.await();
+                ScriptedPeer.respond(socket, 503, "Not-Started: 1\r\n", "");
+            });
+        }
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, fixture.request("order", 8_000, "first"));
+        AgentFixture.await(() -> forwarded("order") == 1);
+        writeAndLeave(client, manyRequests("order", count, bodyBytes), false);
+        pass(HOLD_MS);
+        fail.countDown();
+        settle();
+        settle();
+        assertEquals(1, forwarded("order"));
+    }
+
+    /** Clients that stay get a response to each request, however much they send ahead of the responses. */
+    @ParameterizedTest
+    @CsvSource({"50, 900", "25, 4000", "30, 60000"})
+    void clientsThatSendMuchAheadAndStayAreAnswered(int count, int bodyBytes) throws Exception {
+        fixture.server(DepartedClientsTest::respond);
+        fixture.start();
+        Socket client = fixture.dial();
+        String requests = manyRequests("pay", count, bodyBytes);
+        ScriptedPeer.daemon(() -> ScriptedPeer.write(client, requests));
+        int served = 0;
+        for (int i = 0; i < count; i++) {
+            int status = ScriptedPeer.read(client.getInputStream()).status();
+            assertTrue(status == 200 || status == 503, "status " + status);
+            served += status == 200 ? 1 : 0;
+        }
+        assertTrue(served > 0, "none of " + count + " was served");
+    }
+
     /** The agent has stopped reading from the connection, because what follows the request is invalid. */
     @Test
     void requestBeforeInvalidInputIsNotRetried() throws Exception {
@@ -262,4 +366,34 @@
             assertEquals(0, processor.calls.get());
         }
     }
+
+    /** As many calls are in progress as the agent takes from one connection; the client's close lies behind others. */
+    @ParameterizedTest
+    @CsvSource({"40, 50000", "400, 1000"})
+    void thriftCallsBehindMuchUnreadInputAreNotForwarded(int count, int textBytes) throws Exception {
+        MessageFormat format = new MessageFormat(true, ThriftEncoding.BINARY);
+        CountDownLatch serve = new CountDownLatch(1);
+        try (ThriftAgentFixture thrift = new ThriftAgentFixture(format)) {
+            Processor processor = thrift.server((name, args) -> {
+                awaitUnchecked(serve);
+                return new Result();
+            });
+            thrift.start();
+            Socket client = thrift.dial();
+            ThriftTestService.Client calls = new ThriftTestService.Client(
+                    ThriftAgentFixture.protocol(format.encoding(), new TFramedTransport(new TSocket(client))));
+            Thread writer = ScriptedPeer.daemon(() -> {
+                for (int i = 0; i < MAX_THRIFT_CALLS_IN_PROGRESS + count; i++) {
+                    calls.send("order", new Args("departed" + i, 8_000, null, "x".repeat(textBytes)));
+                }
+            });
+            writer.join(WRITE_MS);
+            client.close();
+            pass(HOLD_MS);
+            int before = processor.calls.get();
+            serve.countDown();
+            pass(HOLD_MS);
+            assertEquals(before, processor.calls.get());
+        }
+    }
 }
