A request that may have run is not sent again when its id comes again

Callers saw (picture (a)): a request ran twice that came again under its id after its client had left, or at the other process of an upgrade.

Cause: an id was known only while its request was in progress in the same process. Once its client had left and the attempt was given up, which does not stop a server, the id was forgotten; the other process of an upgrade never knew it.

Change: ids of keyed and unsafe requests are claimed as they are accepted and kept for 20 s, unless every attempt has proved not to have run; a request whose id is claimed fails (409; over Thrift, failed), which promises nothing. The claims are a table of 64 KB, which the two processes of an upgrade share as a mapped file in $TMPDIR (gatefront-request-ids); a claim is a compare-and-set, and where both claim one id at the same moment neither sends it.

Evidence: RepeatedIdsTest: 10 of 12 cases failed on the code before (sent twice: after leaving, after an answer, with long bodies, over Thrift, and with real processes in an upgrade, in progress and given up), all pass now. The two others hold that what was turned away, and what is safe, is sent again.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -5,6 +5,7 @@
 import gatefront.config.Config;
 import gatefront.engine.Engine;
 import gatefront.engine.Frontend;
+import gatefront.engine.SentRequestIds;
 import gatefront.engine.Upstream;
 import gatefront.http.HttpFrontend;
 import gatefront.http.HttpUpstream;
@@ -63,6 +64,8 @@
      * milliseconds.
      */
     private static final long MAX_SERVE_AFTER_STOP_MS = 2_000;
+    /** The file in which two processes of one agent share the ids of requests. */
+    private static final String SENT_REQUEST_IDS_FILE = "gatefront-request-ids";
     /** Maximum wait for the first server list before the known one is used, in milliseconds. */
     private static final long FIRST_LIST_TIMEOUT_MS = 1_000;
 
@@ -190,6 +193,7 @@
                     }
                 },
                 budget,
+                sentRequestIds(handover),
                 module);
         membershipSources = extensions.registry() == null
                 ? null
@@ -220,6 +224,18 @@
         operatorControls = config.management() == null ? null : createOperatorControls(this, handover);
     }
 
+    /** Returns the ids that this agent has sent, also by the process that it takes over from. */
+    private SentRequestIds sentRequestIds(ProcessHandover handover) {
+        if (handover != null) {
+            try {
+                return new SentRequestIds(handover.map(SENT_REQUEST_IDS_FILE, SentRequestIds.BYTES));
+            } catch (IOException e) {
+                log("upgrade: ids of requests are not shared, " + e);
+            }
+        }
+        return SentRequestIds.empty();
+    }
+
     private static OperatorControls createOperatorControls(Agent agent, ProcessHandover handover) {
         return new OperatorControls(
                 agent.transport,
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -50,6 +50,7 @@
     private final ResourceAccount serverAccount;
     private final ClassLimits classLimits;
     private final RequestCounters counters;
+    private final SentRequestIds sentRequestIds;
     /** Records usage; null if usage is not recorded. */
     private UsageMeter usageMeter;
     /**
@@ -126,6 +127,7 @@
      * @param upstreams connections to the servers, one upstream for each protocol; the first one sends the probes
      * @param source source of the server list; it may be called before this constructor returns
      * @param budget resource budget of the agent
+     * @param sentRequestIds ids of requests that are not to be sent again
      * @param balancerFactory creates the decision module
      */
     public Engine(
@@ -135,8 +137,10 @@
             List<Upstream> upstreams,
             Source source,
             ResourceBudget budget,
+            SentRequestIds sentRequestIds,
             Function<Engine, Balancer> balancerFactory) {
         this.budget = budget;
+        this.sentRequestIds = sentRequestIds;
         this.requestAccount = budget.account(ResourcePurpose.CALLS);
         this.serverAccount = budget.account(ResourcePurpose.SERVERS);
         budget.addRecount(ResourcePurpose.CALLS, () -> new ResourceBudget.Count(pendingById.size(), 0));
@@ -394,9 +398,7 @@
         // Guards against running a request twice, and against one request getting the other's response: a second
         // request with the same id is not sent, whatever client and protocol it came from, and the first continues.
         if (pendingByClientId.containsKey(request.id())) {
-            traceEvent(request, "rejected: another request with this id is in progress");
-            exchange.failed(Exchange.Failure.DUPLICATE);
-            counters.recordError(request.requestClass());
+            rejectDuplicate(request, exchange, "another request with this id is in progress");
             return;
         }
         // Guards against running out of memory with all requests in progress: new ones are refused with a retry-after.
@@ -409,6 +411,13 @@
             counters.recordShed(request.requestClass());
             return;
         }
+        // Guards against running a request twice that comes again after its client has left, or at the other process
+        // of an upgrade.
+        if (!isSafe(request) && !sentRequestIds.claim(request.id(), transport.nanos())) {
+            requestAccount.release(0);
+            rejectDuplicate(request, exchange, "a request with this id may have run");
+            return;
+        }
         if (isTracing()) {
             traceEvent(
                     request, "received, class " + request.requestClass() + ", timeout " + request.timeoutMs() + " ms");
@@ -442,6 +451,16 @@
         });
     }
 
+    private void rejectDuplicate(ClientRequest request, Exchange exchange, String reason) {
+        traceEvent(request, "rejected: " + reason);
+        exchange.failed(Exchange.Failure.DUPLICATE);
+        counters.recordError(request.requestClass());
+    }
+
+    private static boolean isSafe(ClientRequest request) {
+        return request.classSettings().semantics() == Balancer.Semantics.SAFE;
+    }
+
     /**
      * Starts the timer that fails a request once the client's timeout has passed; returns how long that is from now, in
      * microseconds, 0 if it has passed already.
@@ -614,6 +633,9 @@
             if (pendingById.remove(pending.id) != null) {
                 requestAccount.release(0);
                 classLimits.requestEnded(pending.request.requestClass());
+                if (!isSafe(pending.request) && pending.attemptsSent == 0) {
+                    sentRequestIds.release(pending.request.id(), transport.nanos());
+                }
             }
             pendingByClientId.remove(pending.request.id(), pending);
         }
--- a/src/main/java/gatefront/engine/Exchange.java
+++ b/src/main/java/gatefront/engine/Exchange.java
@@ -8,7 +8,7 @@
         NOT_SERVED,
         /** The request's deadline has passed. */
         TIME_UP,
-        /** Another request with the same id is in progress; this one has not been sent to a server. */
+        /** Another request with the same id is in progress or may have run; this one has not been sent to a server. */
         DUPLICATE,
         /** An internal error of the agent. */
         INTERNAL
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -142,7 +142,7 @@
                     switch (failure) {
                         case NOT_SERVED -> "no server has served it";
                         case TIME_UP -> "its time is up";
-                        case DUPLICATE -> "another of the same request id is held";
+                        case DUPLICATE -> "another of the same request id is held or may have run";
                         case INTERNAL -> "a fault of the agent's own";
                     };
             if (declaresExceptions) {
--- a/src/main/java/gatefront/upgrade/ProcessHandover.java
+++ b/src/main/java/gatefront/upgrade/ProcessHandover.java
@@ -2,6 +2,7 @@
 
 import gatefront.membership.ServerBans;
 import java.io.IOException;
+import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -74,6 +75,20 @@
         }
     }
 
+    /**
+     * Maps a file into memory that both processes share. Its bytes are zeros at first.
+     *
+     * @param name name of the file
+     * @param bytes its size
+     * @throws IOException if it cannot be mapped
+     */
+    public MappedByteBuffer map(String name, int bytes) throws IOException {
+        try (FileChannel file = FileChannel.open(
+                folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            return file.map(FileChannel.MapMode.READ_WRITE, 0, bytes);
+        }
+    }
+
     /** Returns whether another process serves and this one is to take over from it. */
     public boolean isSuccessor() {
         return servingLock == null;
