Small chunks of a streamed body are joined before they are written

Cause: each chunk that was read was written to the server, or to the client, by itself: a flush, three buffers and a listener for each byte.

Change: ChunkCollector joins the chunks that one read brings, in requests and responses.

--- a/src/main/java/gatefront/connection/BufferLimits.java
+++ b/src/main/java/gatefront/connection/BufferLimits.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
@@ -17,7 +15,7 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 << 10;
     /** From this size on, a chunk may keep the buffer that it was read into; smaller ones are copied out of it. */
-    private static final int MIN_RETAINED_BYTES = MAX_READ_BYTES / 2;
+    static final int MIN_RETAINED_BYTES = MAX_READ_BYTES / 2;
     /** Channels are unwritable from two full reads of pending output until it has fallen to one. */
     static final WriteBufferWaterMark WRITE_WATER_MARK = new WriteBufferWaterMark(MAX_READ_BYTES, 2 * MAX_READ_BYTES);
 
@@ -38,13 +36,6 @@
         };
     }
 
-    /** Returns a chunk of a body that may be kept for a while, in little more memory than it has bytes. */
-    public static ByteBuf retain(ByteBuf chunk) {
-        return chunk.readableBytes() < MIN_RETAINED_BYTES
-                ? Unpooled.wrappedBuffer(ByteBufUtil.getBytes(chunk))
-                : chunk.retain();
-    }
-
     /** Limits the size of the reads that another handle predicts. */
     @SuppressWarnings("deprecation") // Netty's own allocators still use the type
     private static final class LimitedHandle extends RecvByteBufAllocator.DelegatingHandle {
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -3,7 +3,7 @@
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
 import gatefront.connection.AbstractFrontend;
-import gatefront.connection.BufferLimits;
+import gatefront.connection.ChunkCollector;
 import gatefront.engine.BodyStream;
 import gatefront.engine.ClientPresence;
 import gatefront.engine.ClientRequest;
@@ -375,6 +375,7 @@
                 addBody(content.content());
             }
             if (message instanceof LastHttpContent && !ignoresInput && upload != null) {
+                uploadProducer.collector.flush();
                 uploadProducer.complete = true;
                 completedUpload = upload;
                 upload = null;
@@ -396,6 +397,7 @@
                 complete.complete();
             }
             if (upload != null) {
+                uploadProducer.collector.flush();
                 uploadProducer.updateWhileSending();
             }
             if (incomingConfig == null && decoder.isRequestStarted() && !receivesBody) {
@@ -456,8 +458,8 @@
                     abortUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 } else if (!reserve(length)) {
                     abortUpload(HttpResponseStatus.SERVICE_UNAVAILABLE);
-                } else if (!upload.write(BufferLimits.retain(bytes))) {
-                    channel.config().setAutoRead(!upload.isPaused());
+                } else {
+                    uploadProducer.collector.add(bytes);
                 }
             } else if (!reserve(length)) {
                 rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -485,6 +487,17 @@
             private long mayBeSentSinceNanos = sentNanos();
 
             private boolean complete;
+            private final ChunkCollector collector = new ChunkCollector(this::passOn);
+
+            private void passOn(ByteBuf chunk) {
+                BodyStream stream = upload;
+                if (stream == null) { // it was cancelled meanwhile
+                    release(chunk.readableBytes());
+                    chunk.release();
+                } else if (!stream.write(chunk)) {
+                    channel.config().setAutoRead(!stream.isPaused());
+                }
+            }
 
             @Override
             public void onConsumed(int bytes) {
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -2,7 +2,7 @@
 
 import gatefront.budget.ResourceBudget;
 import gatefront.config.Config;
-import gatefront.connection.BufferLimits;
+import gatefront.connection.ChunkCollector;
 import gatefront.connection.LoadReportParser;
 import gatefront.connection.PooledUpstream;
 import gatefront.engine.BodyStream;
@@ -13,6 +13,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -175,12 +176,27 @@
         private BodyStream stream;
 
         private long streamedBytes;
+        private final ChunkCollector collector = new ChunkCollector(this::passOn);
 
         ResponseReader(Connection connection, StrictHttpDecoders.Responses decoder) {
             super(connection);
             this.decoder = decoder;
         }
 
+        private void passOn(ByteBuf chunk) {
+            if (stream == null) {
+                chunk.release();
+            } else if (!stream.write(chunk)) {
+                setReading(!stream.isPaused());
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            collector.flush();
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         protected boolean read(Attempt attempt, Object message) {
             HttpObject httpObject = (HttpObject) message;
@@ -257,9 +273,7 @@
                 if (streamedBytes > MAX_STREAMED_BODY_BYTES) {
                     return false;
                 }
-                if (length > 0 && !stream.write(BufferLimits.retain(content.content()))) {
-                    setReading(!stream.isPaused());
-                }
+                collector.add(content.content());
                 return true;
             }
             if (!reserve(length)) {
@@ -319,6 +333,7 @@
             int status = response.status().code();
             boolean notStarted = (status == 503 || status == 504) && "1".equals(headers.get("Not-Started"));
             Outcome outcome = status == 200 ? Outcome.OK : notStarted ? Outcome.FULL : Outcome.ERROR;
+            collector.flush();
             BodyStream finishedStream = stream;
             stream = null;
             if (finishedStream != null) {
