One client's requests at full speed no longer keep others from the event loop

Cause: the next pipelined request was queued as a task of the loop. Tasks run before the next poll of the sockets, for up to a second, and each attempt reads ahead more of the same client's requests, so that the tasks never ended. Thrift's queue was worked off in one go, and 16 reads of one channel in a turn came before any other.

Change: the next requests of a connection are processed after the loop has polled its sockets again (Thrift: four at a time), and a channel is read four times in a turn.

--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -440,6 +440,8 @@
         private long readNothingSinceNanos;
         /** When the frontend began to read from the connection. */
         private long readFromNanos;
+        /** Whether a task is to run after the next poll. */
+        private boolean taskScheduled;
         /** Why the agent closes the connection, or null if it does not. */
         private String closeReason;
 
@@ -581,6 +583,25 @@
             return nowNanos - Math.max(0, nowNanos - arrivedAfterNanos - MAX_UNCOUNTED_NANOS);
         }
 
+        /**
+         * Runs a task once the loop has polled its sockets again. Guards against a loop that does nothing but process
+         * the input of one client: tasks that are only queued run before the next poll, however many they are.
+         */
+        protected final void runAfterNextPoll(Runnable task) {
+            if (!taskScheduled) {
+                taskScheduled = true;
+                transport
+                        .loop()
+                        .schedule(
+                                () -> {
+                                    taskScheduled = false;
+                                    task.run();
+                                },
+                                0,
+                                TimeUnit.NANOSECONDS);
+            }
+        }
+
         /** Closes the connection at once, for a reason that is traced. */
         protected final void close(String reason) {
             closeReason = reason;
--- a/src/main/java/gatefront/connection/BufferLimits.java
+++ b/src/main/java/gatefront/connection/BufferLimits.java
@@ -12,6 +12,9 @@
     /** Largest single read. */
     private static final int MAX_READ_BYTES = 16 << 10;
 
+    /** Reads of one channel in a turn of the loop, so that a peer that sends at full speed does not hold up others. */
+    private static final int MAX_READS_PER_POLL = 4;
+
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 << 10;
     /** From this size on, a chunk may keep the buffer that it was read into; smaller ones are copied out of it. */
@@ -33,7 +36,7 @@
             public Handle newHandle() {
                 return new LimitedHandle(super.newHandle(), maxReadBytes);
             }
-        };
+        }.maxMessagesPerRead(MAX_READS_PER_POLL);
     }
 
     /** Limits the size of the reads that another handle predicts. */
--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -511,7 +511,7 @@
                 }
             }
 
-            /** The response came before the body was complete: no further request is read, and the connection closed. */
+            /** The response came before the body was complete: no further request is read, the connection is closed. */
             @Override
             public void onCancel() {
                 ignoresInput = true;
@@ -688,7 +688,7 @@
             } else {
                 transitionTo(decoder.isRequestStarted() ? State.READING_REQUEST : State.KEEP_ALIVE);
                 if (!pipelined.isEmpty()) {
-                    channel.eventLoop().execute(this::processNext);
+                    runAfterNextPoll(this::processNext);
                 }
             }
         }
--- a/src/main/java/gatefront/thrift/ThriftFrontend.java
+++ b/src/main/java/gatefront/thrift/ThriftFrontend.java
@@ -42,6 +42,8 @@
     private static final int MAX_QUEUED = 4;
     /** Calls on one connection that are read ahead in search of the client's close. */
     private static final int MAX_READ_AHEAD = 64;
+    /** Calls of one connection that are processed in a turn of the loop. */
+    private static final int MAX_PROCESSED_PER_POLL = 4;
 
     private static final int REPLY_OVERHEAD_BYTES = 160;
 
@@ -283,19 +285,29 @@
             abandoned.forEach(listener::clientLeft);
         }
 
-        /** Processes queued requests up to the in-flight limit, unless the client is slow to read responses. */
+        /**
+         * Processes some queued requests up to the in-flight limit, unless the client is slow to read responses; the
+         * next ones have to wait until the loop has polled its sockets.
+         */
         private void processQueued() {
-            while (!queued.isEmpty()
-                    && channel.isWritable()
-                    && inFlight.size() < MAX_IN_FLIGHT
-                    && !inFlight.containsKey(queued.peek().message.header().seqid())) {
+            for (int processed = 0; processed < MAX_PROCESSED_PER_POLL && canProcessNext(); processed++) {
                 process(queued.poll());
             }
+            if (canProcessNext()) {
+                scheduleQueued();
+            }
             if (!ignoresInput) {
                 channel.config().setAutoRead(queued.size() < MAX_QUEUED);
             }
         }
 
+        private boolean canProcessNext() {
+            return !queued.isEmpty()
+                    && channel.isWritable()
+                    && inFlight.size() < MAX_IN_FLIGHT
+                    && !inFlight.containsKey(queued.peek().message.header().seqid());
+        }
+
         private void process(QueuedCall call) {
             ThriftMessage message = call.message;
             transitionTo(State.AWAITING_RESPONSE);
@@ -374,7 +386,7 @@
 
         private void scheduleQueued() {
             if (!queued.isEmpty()) {
-                channel.eventLoop().execute(this::processQueued);
+                runAfterNextPoll(this::processQueued);
             }
         }
 
--- a/src/test/java/gatefront/agent/AgentProcess.java
+++ b/src/test/java/gatefront/agent/AgentProcess.java
@@ -16,11 +16,11 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** An agent in a process of its own, with the memory limits of the deploy file's run line. */
+/** An agent in a process of its own, with the memory limits and compiler of the deploy file's run line. */
 final class AgentProcess implements Closeable {
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
-    private static final Pattern MEMORY_OPTION =
-            Pattern.compile("-X(?:X:\\+UseSerialGC|m[sx]\\w+|ss\\w+|X:Max\\w+=\\w+)|-Dio\\.netty\\.\\S+");
+    private static final Pattern MEMORY_OPTION = Pattern.compile("-X(?:X:\\+UseSerialGC|m[sx]\\w+|ss\\w+"
+            + "|X:(?:Max\\w+|ReservedCodeCacheSize|TieredStopAtLevel)=\\w+)|-Dio\\.netty\\.\\S+");
     private static final Pattern LISTENING = Pattern.compile("^listening on .*:(\\d+)$", Pattern.MULTILINE);
 
     private final Process process;
@@ -106,6 +106,15 @@
         }
     }
 
+    /** Returns the most resident memory that the process has had. */
+    long peakMemoryBytes() throws IOException {
+        String line = Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(text -> text.startsWith("VmHWM:"))
+                .findFirst()
+                .orElseThrow();
+        return 1024 * Long.parseLong(line.replaceAll("\\D", ""));
+    }
+
     /** Opens a connection that is closed with the agent. */
     Socket dial() throws IOException {
         return connect(new Socket());
