--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -72,13 +72,8 @@
     private long nextId = 1;
     /** Whether the module is running an event. */
     private boolean dispatching;
-    /** Detects that this process was suspended for a while; null when no such check is active. */
-    private StallDetector stallDetector;
-
-    private Runnable onStall;
-    private long recheckMs;
-    /** Events that wait for a full server list; bounded by what arrives during that wait. */
-    private final List<Runnable> deferredEvents = new ArrayList<>();
+    /** Holds back events while the server list may be out of date. */
+    private final EventSuspension suspension;
 
     /** The source of the server list, as the module may ask for it. */
     public interface Source {
@@ -146,6 +141,7 @@
         budget.addRecount(ResourcePurpose.CALLS, () -> new ResourceBudget.Count(pendingById.size(), 0));
         budget.addRecount(ResourcePurpose.SERVERS, () -> new ResourceBudget.Count(serverNames.size(), 0));
         this.transport = transport;
+        this.suspension = new EventSuspension(transport);
         this.settings = settings;
         this.classLimits = new ClassLimits(settings.classes().size());
         this.counters = new RequestCounters(settings.classes().size());
@@ -242,61 +238,24 @@
      * @param stallAction run after a stall was detected; it has to request a full server list
      */
     public void setStallDetector(StallDetector detector, long recheckMs, Runnable stallAction) {
-        stallDetector = detector;
-        this.recheckMs = recheckMs;
-        onStall = stallAction;
-        scheduleStallCheck();
+        suspension.setDetector(detector, recheckMs, stallAction);
     }
 
     /** Checks for a stall, as there may be no other event that does. */
     public void checkForStall() {
-        if (!isSuspended()) {
-            releaseDeferred();
-        }
+        suspension.check();
     }
 
     /** Notes that a full server list has arrived, and runs the deferred events. */
     public void fullListReceived() {
-        if (stallDetector != null) {
-            stallDetector.serverListReceived();
-            releaseDeferred();
-        }
-    }
-
-    private void scheduleStallCheck() {
-        loop.schedule(this::checkForStall, recheckMs + 1, TimeUnit.MILLISECONDS);
-    }
-
-    private boolean isSuspended() {
-        if (stallDetector == null) {
-            return false;
-        }
-        long now = transport.nanos() / 1000;
-        if (stallDetector.recordEvent(now)) {
-            onStall.run();
-            scheduleStallCheck();
-        }
-        return stallDetector.awaitingServerList(now);
-    }
-
-    private void releaseDeferred() {
-        if (stallDetector != null && !stallDetector.detectsStalls()) {
-            stallDetector = null;
-        }
-        if (!deferredEvents.isEmpty()) {
-            List<Runnable> events = List.copyOf(deferredEvents);
-            deferredEvents.clear();
-            events.forEach(Runnable::run);
-        }
+        suspension.fullListReceived();
     }
 
     /** Runs an event of one request, which is failed if the module throws. */
     private void dispatch(Pending pending, Runnable event) {
-        if (isSuspended()) {
-            deferredEvents.add(() -> dispatch(pending, event));
-            return;
+        if (!suspension.defers(() -> dispatch(pending, event))) {
+            runEvent(pending, event);
         }
-        runEvent(pending, event);
     }
 
     private void runEvent(Pending pending, Runnable event) {
--- a/src/main/java/gatefront/engine/SentRequestIds.java
+++ b/src/main/java/gatefront/engine/SentRequestIds.java
@@ -11,8 +11,8 @@
  * when its id comes again. A set-associative hash table in a buffer, which two processes of one agent may share while
  * one takes over from the other; times are of the monotonic clock, which they have in common.
  *
- * <p>A slot holds a hash of the id and the second in which it was claimed, or 0. A claim ends by {@link #release}, after
- * {@link #RETENTION_SECONDS}, or when it is the oldest of a full bucket.
+ * <p>A slot holds a hash of the id and the second in which it was claimed, or 0. A claim ends by {@link #release},
+ * after {@link #RETENTION_SECONDS}, or when it is the oldest of a full bucket.
  */
 public final class SentRequestIds {
     /** Size of the buffer. */
