A server whose address has another by now is taken for gone

Cause: servers are kept by name; nothing looked at two names of one address.

Change: AddressSuccession, a pure step before the engine sees a list: of two servers at one address the one that started later, or that a change has added, is listed, the other is gone, until it is listed at another address or starts later. One line in the log for each.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -9,6 +9,7 @@
 import gatefront.engine.Upstream;
 import gatefront.http.HttpFrontend;
 import gatefront.http.HttpUpstream;
+import gatefront.membership.AddressSuccession;
 import gatefront.membership.Endpoint;
 import gatefront.membership.OwnAddressFilter;
 import gatefront.padron.Discovery;
@@ -103,6 +104,7 @@
     /** State that survives a restart of the process; null if none is stored. */
     private StateRecovery stateRecovery;
 
+    private final AddressSuccession addressSuccession = new AddressSuccession(this::log);
     private final OwnAddressFilter ownAddressFilter = new OwnAddressFilter(this::isOwnAddress, this::log);
     /** All frontends, HTTP first. */
     private final List<Frontend> frontends = new ArrayList<>();
@@ -522,7 +524,7 @@
 
     /** Receives the merged server list and applies the manual drains to it. */
     private void onServerList(Balancer.ListKind kind, List<Endpoint> listed) {
-        List<Endpoint> endpoints = ownAddressFilter.apply(listed);
+        List<Endpoint> endpoints = ownAddressFilter.apply(addressSuccession.apply(kind, listed));
         if (stateRecovery != null) {
             stateRecovery.onServerList(kind, endpoints);
         }
