The whole list is asked for once discovery's address has refused connections

Cause: the version outlived the process that had given it; only a version that went back was noticed.

Change: a refused connection shows that the process has ended; the next call asks for the whole list. A connection that breaks in mid-call still continues from the last version (the same process may have ended it; DiscoveryTest holds that), so a restart that no call meets is not seen.

Evidence: DiscoveryTest.fullListIsRequestedOnceTheAddressHasRefusedConnections failed before (since=40 was sent to the new process) and passes.

--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -28,6 +29,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -204,11 +206,22 @@
                 // The connection of an abandoned request is closed before it can be established.
                 sendRequest(requestNumber);
             } else {
+                if (requestNumber == currentRequest && isRefused(done.cause())) {
+                    index = -1;
+                }
                 requestFailed(requestNumber, "no connection");
             }
         });
     }
 
+    /**
+     * Returns whether the process at the address has ended. Guards against taking the next one there for the same,
+     * which may count versions of its own.
+     */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     private void sendRequest(int requestNumber) {
         String uri = index < 0 ? "/v1/servers" : "/v1/servers?since=" + index + "&timeout_ms=" + WATCH_WAIT_MS;
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
--- a/src/test/java/gatefront/padron/DiscoveryTest.java
+++ b/src/test/java/gatefront/padron/DiscoveryTest.java
@@ -41,6 +41,7 @@
     private final VirtualTime time = new VirtualTime();
     private final Network network = new Network(time, 0, (from, to, bytes) -> 10 * MS);
     private VirtualHost padron;
+    private Channel listener;
     /** The responses to the next requests, one each; without one, the padrón does not respond. */
     private final Deque<Script> scripts = new ArrayDeque<>();
     /** The URIs of the requests, and their times in milliseconds. */
@@ -67,7 +68,7 @@
     }
 
     private void listen() {
-        new ServerBootstrap()
+        listener = new ServerBootstrap()
                 .group(padron.loop())
                 .channelFactory(padron.serverChannels())
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -92,7 +93,8 @@
                                         });
                     }
                 })
-                .bind(padron.address(PORT));
+                .bind(padron.address(PORT))
+                .channel();
         advance(0);
     }
 
@@ -174,6 +176,24 @@
         assertTrue(requestUris.get(3).contains("since=4&"));
     }
 
+    /** Guards against asking a new process at the address for what has changed since a version of the former one. */
+    @Test
+    void fullListIsRequestedOnceTheAddressHasRefusedConnections() throws Exception {
+        scripts.add(list(40, true, 1, 2));
+        scripts.add(ctx -> {
+            listener.close();
+            ctx.close();
+        });
+        follow("agent", 1, "1");
+        advance(1_000);
+        int requestsBefore = requestUris.size();
+        scripts.add(list(41, true, 2, 4)); // its own count, which happens to be ahead
+        listen();
+        advance(3_000);
+        assertEquals("/v1/servers", requestUris.get(requestsBefore), () -> requestUris + " " + events);
+        assertTrue(events.contains("FULL [s-2, s-4]"), events.toString());
+    }
+
     /** Danger: an abandoned request could be sent on the connection that is established for it. */
     @Test
     void watchCancelledDuringConnectIsNotSent() throws Exception {
