--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -111,6 +111,12 @@
             this.request = request;
             this.exchange = exchange;
         }
+
+        @Override
+        public String toString() {
+            return request.id() + " of class " + request.className() + ", " + request.timeoutMs() + " ms, attempts "
+                    + attempts.size() + ", may have run " + attemptsSent;
+        }
     }
 
     /**
@@ -283,7 +289,7 @@
     private void failPending(Pending pending, Exchange.Failure reason) {
         if (!pending.answered) {
             traceEvent(pending.request, "failed: " + reason);
-            logLine("request given up: " + reason);
+            logLine("request given up: " + reason + ", " + pending);
             pending.exchange.failed(reason);
             counters.recordError(pending.request.requestClass());
             markAnswered(pending);
