At shutdown a deadline over 3 s counts as 3 s, as it does for the kill

Cause: the last responses were planned by the longest deadline, while the platform kills after 3.7 s at the earliest.

Evidence: LongDeadlineShutdownTest, three moments: two failed before (502 after 4.0 and 4.7 s of 3.7), all pass.

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -55,6 +55,8 @@
     private static final long IDLE_STOP_DELAY_MS = 500;
     /** An agent is killed this long after the longest deadline of a request has passed, in milliseconds. */
     private static final long KILL_AFTER_MS = 700;
+    /** Longer deadlines count as this much until the kill, in milliseconds. */
+    private static final long MAX_COUNTED_DEADLINE_MS = 3_000;
     /** Time between the last responses and the moment when the agent is killed, in milliseconds. */
     private static final long FINAL_RESPONSE_MARGIN_MS = 200;
 
@@ -678,7 +680,8 @@
                         .max()
                         .orElse(0)
                 / 1000;
-        long lastResponseMs = longestDeadlineMs + KILL_AFTER_MS - FINAL_RESPONSE_MARGIN_MS;
+        long lastResponseMs =
+                Math.min(MAX_COUNTED_DEADLINE_MS, longestDeadlineMs) + KILL_AFTER_MS - FINAL_RESPONSE_MARGIN_MS;
         loop.execute(() -> {
             boolean hasSuccessor = operatorControls != null && listening && operatorControls.hasSuccessor();
             frontends.forEach(hasSuccessor ? Frontend::handOver : Frontend::markNotReady);
