A client that stops in the middle of a long request is told within 3 s

Cause: the check for a stall came every 2.5 s from the beginning of the body, and asked whether anything had come since the last check.

Change: it counts from the last part that has arrived, is made every 250 ms, reads what has arrived first, and leaves out the time in which reading is paused.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -73,7 +73,9 @@
     /** The most that a client's system holds of what the client has written: the largest buffer that Linux allots. */
     private static final int MAX_SEND_BUFFER_BYTES = 4 << 20;
     /** A streamed request body of which nothing arrives for this long is aborted and its connection closed. */
-    private static final long UPLOAD_STALL_TIMEOUT_MS = 2_500;
+    private static final long UPLOAD_STALL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Interval at which that is checked. */
+    private static final long UPLOAD_STALL_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final Transport transport;
     private Config config;
@@ -276,6 +278,8 @@
         private BodyStream completedUpload;
 
         private long uploadedBytes;
+        /** When a part of the body last arrived. */
+        private long uploadProgressNanos;
         /** Framing of the body that is being received; see {@link StrictHttpDecoders#framing}. */
         private long bodyFraming;
 
@@ -454,6 +458,7 @@
             }
             if (upload != null) {
                 uploadedBytes += length;
+                uploadProgressNanos = transport.nanos();
                 if (uploadedBytes > HttpUpstream.MAX_STREAMED_BODY_BYTES) {
                     abortUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 } else if (!reserve(length)) {
@@ -477,7 +482,8 @@
             upload = stream;
             uploadedBytes = received.readableBytes();
             stream.write(received);
-            scheduleUploadStallCheck(stream, uploadedBytes);
+            uploadProgressNanos = transport.nanos();
+            scheduleUploadStallCheck(stream, UPLOAD_STALL_CHECK_NANOS);
             enqueue(new QueuedRequest(withBody(incomingRequest, stream, bodyFraming), null, keepAlive, sentNanos(), 0));
         }
 
@@ -577,22 +583,24 @@
         }
 
         /** Guards against holding open for ever a request body that stops in the middle. */
-        private void scheduleUploadStallCheck(BodyStream stream, long uploadedBefore) {
-            transport
-                    .loop()
-                    .schedule(
-                            () -> {
-                                if (upload != stream) {
-                                    return;
-                                }
-                                if (uploadedBytes == uploadedBefore && !stream.isPaused()) {
-                                    close("the streamed request has stalled");
-                                } else {
-                                    scheduleUploadStallCheck(stream, uploadedBytes);
-                                }
-                            },
-                            UPLOAD_STALL_TIMEOUT_MS,
-                            TimeUnit.MILLISECONDS);
+        private void scheduleUploadStallCheck(BodyStream stream, long delayNanos) {
+            transport.loop().schedule(() -> checkUploadStall(stream), delayNanos, TimeUnit.NANOSECONDS);
+        }
+
+        private void checkUploadStall(BodyStream stream) {
+            transport.readArrivedInput(channel);
+            if (upload != stream) {
+                return;
+            }
+            if (stream.isPaused()) {
+                uploadProgressNanos = transport.nanos(); // the client cannot send
+            }
+            long leftNanos = uploadProgressNanos + UPLOAD_STALL_TIMEOUT_NANOS - transport.nanos();
+            if (leftNanos <= 0) {
+                close("the streamed request has stalled");
+            } else {
+                scheduleUploadStallCheck(stream, Math.min(leftNanos, UPLOAD_STALL_CHECK_NANOS));
+            }
         }
 
         /**
--- a/src/test/java/gatefront/agent/SlowUploadsTest.java
+++ b/src/test/java/gatefront/agent/SlowUploadsTest.java
@@ -31,6 +31,10 @@
     /** How long after its time a request may be answered. */
     private static final long LATE_MS = 500;
 
+    /** Within this time a client that has stopped in the middle of a request is told. */
+    private static final long STOPPED_CLIENT_MS = 3_000;
+
+    private static final int STOPPED_PART_BYTES = 80_000;
     private static final int READ_BYTES = 4 << 10;
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 8 << 10;
 
@@ -193,4 +197,23 @@
         writeBody(client, false, bytes, 1 << 20, 0);
         assertEquals(200, ScriptedPeer.read(client.getInputStream()).status());
     }
+
+    /** A client that stops in the middle of a request and stays gets an error or a close, whenever it stops. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "300, true", "1200, false", "1200, true", "2300, false"})
+    void clientThatStopsInTheMiddleOfALongRequestIsToldInTime(long pauseMs, boolean chunked) throws Exception {
+        fixture.server((message, socket) -> ScriptedPeer.respond(socket, 200, "", "served"));
+        fixture.start();
+        Socket client = fixture.dial();
+        ScriptedPeer.write(client, head("pay", 8_000, chunked, 10_000_000));
+        for (int part = 0; part < 2; part++) {
+            String piece = "x".repeat(STOPPED_PART_BYTES);
+            ScriptedPeer.write(client, chunked ? Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n" : piece);
+            TimeUnit.MILLISECONDS.sleep(part == 0 ? pauseMs : 0);
+        }
+        long stoppedNanos = System.nanoTime();
+        int first = client.getInputStream().read();
+        long afterMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNanos);
+        assertTrue(afterMs <= STOPPED_CLIENT_MS, first + " came after " + afterMs + " ms");
+    }
 }
