--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -588,14 +588,13 @@
         }
 
         private void checkUploadStall(BodyStream stream) {
-            transport.readArrivedInput(channel);
+            if (uploadStallLeftNanos(stream) <= 0) {
+                transport.readArrivedInput(channel);
+            }
             if (upload != stream) {
                 return;
             }
-            if (stream.isPaused()) {
-                uploadProgressNanos = transport.nanos(); // the client cannot send
-            }
-            long leftNanos = uploadProgressNanos + UPLOAD_STALL_TIMEOUT_NANOS - transport.nanos();
+            long leftNanos = uploadStallLeftNanos(stream);
             if (leftNanos <= 0) {
                 close("the streamed request has stalled");
             } else {
@@ -603,6 +602,13 @@
             }
         }
 
+        /** Returns how long a client may go on sending nothing; while reading is paused, it cannot send. */
+        private long uploadStallLeftNanos(BodyStream stream) {
+            long nowNanos = transport.nanos();
+            uploadProgressNanos = stream.isPaused() ? nowNanos : uploadProgressNanos;
+            return uploadProgressNanos + UPLOAD_STALL_TIMEOUT_NANOS - nowNanos;
+        }
+
         /**
          * Queues an error response to invalid input and stops reading. Guards against responding out of turn, where the
          * client would take the error for the response to an earlier request, and against reading input that is not
--- a/src/test/java/gatefront/agent/SlowPeersTest.java
+++ b/src/test/java/gatefront/agent/SlowPeersTest.java
@@ -43,6 +43,7 @@
 @Timeout(120)
 class SlowPeersTest {
     private static final int SLOW_PEERS = 300;
+    private static final int SLOW_PEERS_OF_A_KIND = 100;
     /** Near the limit of an agent on connections to clients. */
     private static final int MAX_CONNECTIONS = 480;
 
@@ -52,6 +53,9 @@
     /** Just under what is held whole. */
     private static final int LARGEST_WHOLE_BODY = 60_000;
 
+    /** What an agent may take of memory, by the README. */
+    private static final int MAX_MEMORY_MIB = 128;
+
     private static final int TIMEOUT_MS = 1_500;
     /** How long after its time a request may still be answered. */
     private static final int LATE_MS = 550;
@@ -192,7 +196,13 @@
             Thread.sleep(SHORT_REQUEST_INTERVAL_MS);
         }
         assertTrue(answered > 0, "none was served");
+        assertMemoryIsWithinItsLimit();
+    }
+
+    private void assertMemoryIsWithinItsLimit() throws IOException {
         assertFalse(agent.log().contains("OutOfMemory"), agent.log());
+        long peakMib = agent.peakMemoryBytes() / MIB;
+        assertTrue(peakMib <= MAX_MEMORY_MIB, "peak memory " + peakMib + " MiB");
     }
 
     /** Guards against an event loop that waits for memory while clients read long responses slowly. */
@@ -338,6 +348,34 @@
         assertOthersAreAnswered();
     }
 
+    /** Guards against memory that each kind of slow client leaves enough of, and all kinds together do not. */
+    @ParameterizedTest
+    @CsvSource({"200000, 60000, 20", "12000000, 2000000, 200", "60000, 8000000, 1"})
+    void slowClientsOfAllKindsTogetherDoNotStopTheAgent(int responseBytes, int bodyBytes, int pieceBytes)
+            throws Exception {
+        serveBodies(responseBytes);
+        startAgent();
+        for (int i = 0; i < SLOW_PEERS_OF_A_KIND; i++) {
+            ScriptedPeer.write(agent.dialWithSmallReceiveBuffer(), fixture.request("lookup", 8_000, ""));
+            String head = fixture.request("order", 8_000, "").replace("Length: 0", "Length: " + bodyBytes);
+            Socket stopped = agent.dial();
+            ScriptedPeer.daemon(() -> ScriptedPeer.write(stopped, head + "x".repeat(bodyBytes / 2)));
+            Socket slow = agent.dial();
+            ScriptedPeer.daemon(() -> {
+                ScriptedPeer.write(slow, head);
+                while (true) {
+                    ScriptedPeer.write(slow, "x".repeat(pieceBytes));
+                    TimeUnit.MILLISECONDS.sleep(SHORT_REQUEST_INTERVAL_MS);
+                }
+            });
+            String plain = fixture.request("lookup", 8_000, "");
+            Socket fields = agent.dial();
+            ScriptedPeer.daemon(
+                    () -> ScriptedPeer.write(fields, plain.substring(0, plain.length() - 2) + manyShortFields()));
+        }
+        assertOthersAreAnswered();
+    }
+
     private static byte[] lookupCall(int seqid, Args args) throws TException {
         return ThriftAgentFixture.message(FORMAT, "lookup", TMessageType.CALL, seqid, args);
     }
@@ -353,7 +391,7 @@
     }
 
     /** Sends short calls for a while; each has to get its reply in time. Returns how many were served. */
-    private static int assertThriftCallsAreAnswered(InetSocketAddress listen) throws Exception {
+    private int assertThriftCallsAreAnswered(InetSocketAddress listen) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WATCHED_SECONDS);
         int served = 0;
         for (int i = 0; System.nanoTime() < end; i++) {
@@ -363,6 +401,7 @@
             assertTrue(elapsedMs <= TIMEOUT_MS + LATE_MS, "answered after " + elapsedMs + " ms");
             Thread.sleep(SHORT_REQUEST_INTERVAL_MS);
         }
+        assertMemoryIsWithinItsLimit();
         return served;
     }
 
