The decision module's end of a request does not cut off a response that has begun

Cause: the module gives a request up by itself once it would be late, cancels its attempts and fails it; where its timer ran before the attempt's, as after a short hold, the response was cut off by that way. The trace shows 'failed by the decision module' 0.40 to 0.48 s after the attempt was written, with a timeout of 0.395 s.

Change: cancelling an attempt whose response has begun without a length streams it instead, and a request whose response is being streamed is neither failed nor refused.

--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -497,10 +497,11 @@
      */
     private boolean isAwaited(Pending pending) {
         if (!pending.answered) {
-            switch (pending.exchange.clientPresence()) {
-                case PRESENT -> {}
-                case LEFT -> abandonRequest(pending.exchange);
-                case UNKNOWN -> endUnconfirmed(pending);
+            ClientPresence presence = pending.exchange.clientPresence(); // reading may end the request
+            if (presence == ClientPresence.LEFT) {
+                abandonRequest(pending.exchange);
+            } else if (presence == ClientPresence.UNKNOWN && !pending.answered) {
+                endUnconfirmed(pending);
             }
         }
         return !pending.answered;
@@ -508,9 +509,6 @@
 
     /** Ends a request whose client may have left: it is refused, unless an attempt may have run. */
     private void endUnconfirmed(Pending pending) {
-        if (pending.answered) {
-            return; // reading has ended it
-        }
         if (pending.attemptsSent > 0) {
             traceEvent(pending.request, "failed: the client's close may lie behind unread input");
             pending.exchange.failed(Exchange.Failure.NOT_SERVED);
@@ -630,7 +628,7 @@
     @Override
     public void refuse(long request, long retryAfterMicros) {
         Pending pending = pendingById.get(request);
-        if (pending != null && !pending.answered) {
+        if (pending != null && !pending.answered && !pending.streaming) {
             traceEvent(pending.request, "refused by the decision module, retry after " + retryAfterMicros + " us");
             pending.exchange.refused(retryAfterMicros > 0 ? retryAfterMicros : RETRY_AFTER_MICROS);
             counters.recordShed(pending.request.requestClass());
@@ -641,7 +639,7 @@
     @Override
     public void fail(long request) {
         Pending pending = pendingById.get(request);
-        if (pending != null && !pending.answered) {
+        if (pending != null && !pending.answered && !pending.streaming) {
             traceEvent(pending.request, "failed by the decision module");
             pending.exchange.failed(Exchange.Failure.NOT_SERVED);
             counters.recordError(pending.request.requestClass());
@@ -649,10 +647,13 @@
         }
     }
 
+    /** A response that a server is still sending is streamed, not cut off. */
     @Override
     public void cancel(long request, int attempt) {
         Pending pending = pendingById.get(request);
-        if (pending != null && attempt < pending.attempts.size()) {
+        if (pending != null
+                && attempt < pending.attempts.size()
+                && (pending.answered || !pending.attempts.get(attempt).streamBegunResponse())) {
             pending.attempts.get(attempt).cancel();
         }
     }
