A client whose data its own system holds back is not taken for still sending

Cause: an empty or short receive queue was taken for a sign that the client has sent no more. Behind a window that was closed, its system holds back what it has written for some time after the agent reads again.

Change: that sign counts only if reading has not been paused for 0.3 s, which is longer than a sender waits before it probes a window.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -68,8 +68,8 @@
     private static final int MAX_PIPELINED = 4;
     /** Pipelined requests on one connection that are read ahead in search of the client's close. */
     private static final int MAX_READ_AHEAD = 64;
-    /** With fewer unread bytes than this in its socket, a client is not kept from sending: it has sent no more. */
-    private static final int MIN_FULL_QUEUE_BYTES = 16 << 10;
+    /** After a pause of reading, a client's system may hold back for this long what the client has written. */
+    private static final long PAUSE_EFFECT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** The most that a client's system holds of what the client has written: the largest buffer that Linux allots. */
     private static final int MAX_SEND_BUFFER_BYTES = 4 << 20;
     /** A streamed request body of which nothing arrives for this long is aborted and its connection closed. */
@@ -493,6 +493,8 @@
             private long mayBeSentSinceNanos = sentNanos();
 
             private boolean complete;
+            private boolean wasPaused;
+            private long lastPausedNanos;
             private final ChunkCollector collector = new ChunkCollector(this::passOn);
 
             private void passOn(ByteBuf chunk) {
@@ -501,6 +503,8 @@
                     release(chunk.readableBytes());
                     chunk.release();
                 } else if (!stream.write(chunk)) {
+                    lastPausedNanos = transport.nanos();
+                    wasPaused = true;
                     channel.config().setAutoRead(!stream.isPaused());
                 }
             }
@@ -512,6 +516,7 @@
 
             @Override
             public void onResume() {
+                lastPausedNanos = transport.nanos();
                 if (!ignoresInput) {
                     channel.config().setAutoRead(true);
                 }
@@ -531,21 +536,20 @@
                 return mayBeSentSinceNanos;
             }
 
-            /** Notes that the client is still sending if not even unread input can hold the end of the body. */
+            /** Notes the time if the client is known to be still sending. */
             private void updateWhileSending() {
                 if (!complete && upload != null && isKnownToBeSending()) {
                     mayBeSentSinceNanos = transport.nanos();
                 }
             }
 
+            /** While reading was not paused, the client was not kept from sending, and the end has not arrived. */
             private boolean isKnownToBeSending() {
+                lastPausedNanos = upload.isPaused() ? transport.nanos() : lastPausedNanos;
                 int unreadBytes = transport.unreadInputBytes(channel);
-                if (unreadBytes == Transport.UNKNOWN_BYTES) {
-                    return !upload.isPaused();
-                }
-                long remainingBytes = bodyFraming - uploadedBytes;
-                long sentBytes = unreadBytes < MIN_FULL_QUEUE_BYTES ? unreadBytes : unreadBytes + MAX_SEND_BUFFER_BYTES;
-                return unreadBytes == 0 || bodyFraming >= 0 && remainingBytes > sentBytes;
+                boolean keepsUp = !wasPaused || transport.nanos() - lastPausedNanos >= PAUSE_EFFECT_NANOS;
+                return keepsUp && unreadBytes <= 0
+                        || unreadBytes >= 0 && bodyFraming - uploadedBytes > unreadBytes + MAX_SEND_BUFFER_BYTES;
             }
         }
 
