--- a/src/test/java/gatefront/agent/AgentProcess.java
+++ b/src/test/java/gatefront/agent/AgentProcess.java
@@ -140,6 +140,13 @@
         signal("HUP");
     }
 
+    /** Suspends the process for a while. */
+    void suspend(long millis) throws IOException, InterruptedException {
+        signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(millis);
+        signal("CONT");
+    }
+
     private void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
                 .start()
