The end of a shutdown does not cut off responses that are being streamed

Cause: what ends the last requests before the kill ended streamed responses, too.

Change: it ends requests whose response has not begun, or begins to stream it; streams go on until they end or the process is killed.

--- a/src/main/java/gatefront/engine/ClientRequest.java
+++ b/src/main/java/gatefront/engine/ClientRequest.java
@@ -32,6 +32,11 @@
         return snapshot.settings().classes().get(requestClass);
     }
 
+    /** Returns whether it may run any number of times. */
+    public boolean isSafe() {
+        return classSettings().semantics() == Balancer.Semantics.SAFE;
+    }
+
     /** Returns the name of its class. */
     public String className() {
         return snapshot.classes().get(requestClass);
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -224,9 +224,11 @@
         classLimits.setLimits(maxInProgressByClass);
     }
 
-    /** Fails all requests in progress with {@link Exchange.Failure#TIME_UP}. */
+    /** Ends all requests in progress whose response has not begun, as if their time were up. */
     public void failAllPending() {
-        List.copyOf(pendingById.values()).forEach(pending -> failPending(pending, Exchange.Failure.TIME_UP));
+        Set<Pending> waiting = new HashSet<>(pendingById.values());
+        waiting.removeIf(pending -> pending.streaming);
+        waiting.forEach(this::deadlinePassed);
     }
 
     // ---- Events ----
@@ -378,7 +380,7 @@
         }
         // Guards against running a request twice that comes again after its client has left, or at the other process
         // of an upgrade.
-        if (!isSafe(request) && !sentRequestIds.claim(request.id(), transport.machineNanos())) {
+        if (!request.isSafe() && !sentRequestIds.claim(request.id(), transport.machineNanos())) {
             requestAccount.release(0);
             rejectDuplicate(request, exchange, "a request with this id may have run");
             return;
@@ -422,10 +424,6 @@
         counters.recordError(request.requestClass());
     }
 
-    private static boolean isSafe(ClientRequest request) {
-        return request.classSettings().semantics() == Balancer.Semantics.SAFE;
-    }
-
     /**
      * Starts the timer that fails a request once the client's timeout has passed; returns how long that is from now, in
      * microseconds, 0 if it has passed already.
@@ -596,7 +594,7 @@
             if (pendingById.remove(pending.id) != null) {
                 requestAccount.release(0);
                 classLimits.requestEnded(pending.request.requestClass());
-                if (!isSafe(pending.request) && pending.attemptsSent == 0) {
+                if (!pending.request.isSafe() && pending.attemptsSent == 0) {
                     sentRequestIds.release(pending.request.id(), transport.machineNanos());
                 }
             }
