--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
-#!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10, after the build line of deploy/balancer.toml. Needs the JDK alone.
-set -euo pipefail
-cd "$(dirname "$0")/.."
-rm -rf target/review-2
-mkdir -p target/review-2
-javac --release 17 -encoding UTF-8 -Xlint:all -Werror -d target/review-2 review/common-2/*.java review/{6,7,8,9,10}/*.java
+#!/bin/sh
+# Builds the cases 6 to 10 and their stand-ins, after the build line of deploy/balancer.toml. Needs the JDK alone.
+set -eu
+root=$(CDPATH= cd -- "$(dirname -- "$0")/.." && pwd)
+out="$root/target/review-2"
+rm -rf "$out"
+mkdir -p "$out"
+javac --release 17 -encoding UTF-8 -Xlint:all -Werror -d "$out" "$root"/review/common-2/*.java \
+    "$root"/review/6/*.java "$root"/review/7/*.java "$root"/review/8/*.java "$root"/review/9/*.java "$root"/review/10/*.java
