--- a/review/common-2/Case6.java
+++ b/review/common-2/Case6.java
@@ -9,7 +9,7 @@
 /** Clients send many requests at once on each connection while the agent is told to end. */
 final class Case6 {
     private static final int CONNECTIONS = 64;
-    private static final int AT_ONCE = 4;
+    private static final int AT_ONCE = 10;
     private static final long TRY_MILLIS = 1_600;
     /** SIGKILL comes no sooner after SIGTERM: the longest deadline of the settings, and 0.7 s. */
     private static final long KILL_MILLIS = 2_700;
