--- a/review/common-2/Rig.java
+++ b/review/common-2/Rig.java
@@ -310,6 +310,15 @@
     /** A request as a backend got it. */
     record Arrival(long atMillis, String id, String target, int bodyBytes) {}
 
+    /** How far a backend has come with a long answer. */
+    static final class LongAnswer {
+        volatile int pieces;
+        volatile long lastPieceMillis;
+        volatile boolean whole;
+        /** When the backend could not go on, as the agent had closed the connection; 0 if it could. */
+        volatile long failedMillis;
+    }
+
     /** A sound backend: takes a given time for each request and answers 200 with the request's id as body. */
     static final class Backend implements Closeable {
         final String name;
@@ -322,12 +331,26 @@
         volatile String status = "Ready";
         final String zone;
         final int group;
+        /** Until when the backend is silent: it reads nothing and writes nothing. */
+        volatile long silentUntilMillis;
+        /** Requests with this in their target get a long answer, written in pieces; null for none. */
+        volatile String longTarget;
+
+        volatile int pieces;
+        volatile int pieceBytes;
+        volatile long pieceMillis;
+        /** The long answers, by the request's id. */
+        final Map<String, LongAnswer> longAnswers = new ConcurrentHashMap<>();
+
+        private final Rig rig;
 
         Backend(Rig rig, String name, String zone, int group) throws IOException {
             this.name = name;
             this.zone = zone;
             this.group = group;
+            this.rig = rig;
             this.server = new Server((request, out) -> {
+                awaitSound();
                 if (request.target().equals("/healthz") || request.target().equals("/load")) {
                     write(out, "HTTP/1.1 200 OK", "depth=0".getBytes(StandardCharsets.US_ASCII));
                     return true;
@@ -337,6 +360,11 @@
                     arrivals.add(new Arrival(rig.millis(), id, request.target(), request.body.length));
                 }
                 sleep(workMillis);
+                awaitSound();
+                if (longTarget != null && request.target().contains(longTarget)) {
+                    writeLong(id, out);
+                    return true;
+                }
                 write(
                         out,
                         "HTTP/1.1 200 OK" + (reportsInAnswers ? "\r\nServer-Load: depth=0,concurrent=1" : ""),
@@ -346,6 +374,41 @@
             rig.own(this);
         }
 
+        private void awaitSound() {
+            while (rig.millis() < silentUntilMillis) {
+                sleep(5);
+            }
+        }
+
+        /** Writes a long answer in pieces, at the pace of a slow backend; goes on after a silence. */
+        private void writeLong(String id, OutputStream out) throws IOException {
+            LongAnswer answer = new LongAnswer();
+            longAnswers.put(id, answer);
+            byte[] piece = new byte[pieceBytes];
+            try {
+                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + (long) pieces * pieceBytes + "\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+                for (int i = 0; i < pieces; i++) {
+                    awaitSound();
+                    out.write(piece);
+                    answer.pieces = i + 1;
+                    answer.lastPieceMillis = rig.millis();
+                    sleep(pieceMillis);
+                }
+                answer.whole = true;
+            } catch (IOException e) {
+                answer.failedMillis = rig.millis();
+                throw e;
+            }
+        }
+
+        /** How many long answers are under way. */
+        long longAnswersUnderWay() {
+            return longAnswers.values().stream()
+                    .filter(answer -> answer.pieces > 0 && answer.pieces < pieces && answer.failedMillis == 0)
+                    .count();
+        }
+
         int count() {
             synchronized (arrivals) {
                 return arrivals.size();
@@ -372,6 +435,10 @@
         private long index = 41;
         private final List<Backend> changed = new ArrayList<>();
         private final Map<Backend, Long> changedAt = new LinkedHashMap<>();
+        /** When an answer that says that a backend is no longer ready was first written to the agent. */
+        final Map<String, Long> writtenMillis = new ConcurrentHashMap<>();
+        /** Since when a watch waits; 0 if none does. */
+        volatile long watchingSinceMillis;
         /** The time that a call takes once it has an answer, as for a call that waits its turn. */
         volatile long callMillis;
         /** How long a call may wait; it fails with 503 after that. */
@@ -397,22 +464,29 @@
                 return true;
             }
             String body;
+            List<Backend> told = new ArrayList<>();
             synchronized (this) {
                 long since = isWatch ? Long.parseLong(watch.group(1)) : -1;
                 long until = System.nanoTime() + 1_000_000L * (isWatch ? Math.min(60_000, Long.parseLong(watch.group(2))) : 0);
+                watchingSinceMillis = isWatch ? rig.millis() : 0;
                 while (isWatch && since >= index && System.nanoTime() < until) {
                     TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, until - System.nanoTime()));
                 }
+                watchingSinceMillis = 0;
                 List<String> entries = new ArrayList<>();
                 for (Backend backend : backends) {
                     if (!isWatch || changedAt.getOrDefault(backend, 0L) > since) {
                         entries.add(backend.entry());
+                        if (!backend.status.equals("Ready")) {
+                            told.add(backend);
+                        }
                     }
                 }
                 body = "{\"index\":" + index + ",\"snapshot\":" + !isWatch + ",\"endpoints\":["
                         + String.join(",", entries) + "]}";
             }
             write(out, "HTTP/1.1 200 OK", body.getBytes(StandardCharsets.ISO_8859_1));
+            told.forEach(backend -> writtenMillis.putIfAbsent(backend.name, rig.millis()));
             rig.note("discovery: answered " + body.length() + " bytes, index " + index);
             return true;
         }
@@ -421,6 +495,7 @@
             backend.status = status;
             index++;
             changedAt.put(backend, index);
+            writtenMillis.remove(backend.name);
             rig.note("discovery: " + backend.name + " is " + status + " from index " + index);
             notifyAll();
         }
@@ -492,6 +567,15 @@
             return false;
         }
 
+        /** Stops the process, or has it go on, by the shell's own kill. */
+        void stopOrContinue(String signal) throws Exception {
+            int status = new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                    .inheritIO()
+                    .start()
+                    .waitFor();
+            rig.note(name + ": SIG" + signal + (status == 0 ? "" : " failed"));
+        }
+
         /** Sends SIGTERM or SIGKILL. */
         void signal(String signal) {
             rig.note(name + ": SIG" + signal);
