Discovery: a call that is overdue is repeated, and its late response is still taken

Cause: Discovery closed the connection of a call after 2 s (a watch after 7 s) and made the same call anew, so that a service that is slow for every call is never heard: after a start, a new address, a standstill, a refused connection. Watches without a change were given up likewise.

Change: the overdue call is repeated at the same moments as before, and its connection stays open; the response that comes first is used. A longer timeout alone was not tried: it would leave an agent without news for longer on a connection that fell silent.

--- a/src/main/java/gatefront/padron/Discovery.java
+++ b/src/main/java/gatefront/padron/Discovery.java
@@ -31,14 +31,17 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Follows the server list of the padrón: one full list, then one watch after the other on one connection. Runs on the
- * agent's event loop.
+ * Follows the server list of the padrón: one full list, then one watch after the other on one connection. A response
+ * that is overdue is requested again on another connection, and whichever response arrives first is used: a connection
+ * that has fallen silent cannot be told from a discovery service that is slow. Runs on the agent's event loop.
  */
 public final class Discovery {
     /** Receives the results. */
@@ -55,10 +58,29 @@
     /** A decoded response. */
     public record ServerListResponse(long index, boolean snapshot, List<Endpoint> endpoints) {}
 
+    /**
+     * A call whose response is late and still accepted.
+     *
+     * @param channel the connection that it was sent on
+     * @param since the version that its response continues from; negative for the full list
+     */
+    private record OverdueCall(Channel channel, long since) {}
+
+    /** A response with status 200 that cannot be applied to the present list. */
+    private static final class UnusableListException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        UnusableListException(String reason) {
+            super(reason);
+        }
+    }
+
     /** How long a watch waits for changes. It is short, so that a silent discovery service is detected soon. */
     private static final long WATCH_WAIT_MS = 5_000;
-    /** How much longer than its wait time a request may take. */
+    /** How much longer than its wait time a request may take until it is repeated on another connection. */
     private static final long RESPONSE_TIMEOUT_MS = 2_000;
+    /** Responses that are awaited beside the one to the request in progress; beyond that the oldest is given up. */
+    private static final int MAX_OVERDUE_CALLS = 3;
 
     private static final long MIN_BACKOFF_MS = 50;
     private static final long MAX_BACKOFF_MS = 1_000;
@@ -97,6 +119,12 @@
     private int currentRequest;
     /** The timeout of the request in progress; null while there is none. */
     private Future<?> timeout;
+    /**
+     * Calls whose responses are late, the oldest first. One leaves when its connection closes; all leave when a list
+     * arrives, when another full list is wanted, and at the end.
+     */
+    private final Deque<OverdueCall> overdueCalls = new ArrayDeque<>();
+
     /** Guards against agents that fail together and retry together. */
     private final SplittableRandom jitter;
 
@@ -142,6 +170,7 @@
         index = -1;
         watching = true;
         abandonRequest();
+        abandonOverdueCalls();
         scheduleRequest(0);
     }
 
@@ -161,6 +190,7 @@
     public void close() {
         closed = true;
         abandonRequest();
+        abandonOverdueCalls();
     }
 
     private void abandonRequest() {
@@ -172,6 +202,12 @@
         }
     }
 
+    private void abandonOverdueCalls() {
+        List<OverdueCall> abandoned = List.copyOf(overdueCalls);
+        overdueCalls.clear();
+        abandoned.forEach(call -> call.channel.close());
+    }
+
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel(false);
@@ -238,9 +274,24 @@
             // Guards against dropping a list that arrived while the loop was held up; it begins another request.
             transport.readArrivedInput(channel);
         }
+        if (requestNumber == currentRequest && channel != null && channel.isActive()) {
+            continueAwaiting();
+        }
         requestFailed(requestNumber, "no answer");
     }
 
+    /**
+     * Keeps the connection of the request in progress open for its response. Guards against a discovery service that
+     * takes longer for each response than the timeout: if every call were given up, no list would ever arrive.
+     */
+    private void continueAwaiting() {
+        if (overdueCalls.size() == MAX_OVERDUE_CALLS) {
+            overdueCalls.poll().channel.close();
+        }
+        overdueCalls.add(new OverdueCall(channel, index));
+        channel = null;
+    }
+
     private void requestFailed(int requestNumber, String reason) {
         requestFailed(requestNumber, reason, MAX_BACKOFF_MS);
     }
@@ -263,7 +314,7 @@
 
     private void responseReceived(FullHttpResponse response) {
         cancelTimeout();
-        if (response.decoderResult().isFailure() || response.status().code() != 200) {
+        if (!isSuccessful(response)) {
             requestFailed(
                     currentRequest,
                     "answer " + response.status().code(),
@@ -274,30 +325,64 @@
                             : MAX_BACKOFF_MS);
             return;
         }
+        ServerListResponse list;
+        try {
+            list = readList(response);
+        } catch (UnusableListException e) {
+            // Guards against changes that are lost: the old list stays in use, and the full list is requested.
+            index = -1;
+            requestFailed(currentRequest, e.getMessage());
+            return;
+        }
+        applyList(list, HttpUtil.isKeepAlive(response));
+    }
+
+    /** Uses a late response in place of the one to the repeated request, unless it is of no use. */
+    private void overdueResponseReceived(OverdueCall call, FullHttpResponse response) {
+        overdueCalls.remove(call);
+        if (!isSuccessful(response) || call.since != index) {
+            call.channel.close();
+            return;
+        }
+        ServerListResponse list;
+        try {
+            list = readList(response);
+        } catch (UnusableListException e) {
+            call.channel.close(); // the failure of the call has been reported, and it is being repeated
+            return;
+        }
+        abandonRequest();
+        channel = call.channel;
+        watching = true;
+        applyList(list, HttpUtil.isKeepAlive(response));
+    }
+
+    private static boolean isSuccessful(FullHttpResponse response) {
+        return !response.decoderResult().isFailure() && response.status().code() == 200;
+    }
+
+    private ServerListResponse readList(FullHttpResponse response) throws UnusableListException {
         ServerListResponse list;
         try (InputStream body = new ByteBufInputStream(response.content())) {
             list = decode(Config.parseJson(body), config);
         } catch (IOException | IllegalArgumentException e) {
-            // Guards against a list that cannot be decoded: the old one stays in use, and the full list is requested,
-            // since the changes in the lost one are unknown.
-            index = -1;
-            requestFailed(
-                    currentRequest,
-                    "unusable list: "
-                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
-            return;
+            throw new UnusableListException("unusable list: "
+                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
         if (!list.snapshot() && list.index() < index) {
-            // Guards against changes of another history, as after a restart from an older copy: the full list is
-            // requested.
-            index = -1;
-            requestFailed(currentRequest, "the list's version went back to " + list.index());
-            return;
+            // Guards against changes of another history, as after a restart from an older copy.
+            throw new UnusableListException("the list's version went back to " + list.index());
         }
+        return list;
+    }
+
+    /** Passes a list on and schedules the next watch, on the same connection if that is kept. */
+    private void applyList(ServerListResponse list, boolean keepsConnection) {
         index = list.index();
         // Halves the backoff instead of resetting it: one response does not mean that the overload has ended.
         backoffMs = Math.max(MIN_BACKOFF_MS, backoffMs / 2);
-        if (!HttpUtil.isKeepAlive(response)) {
+        abandonOverdueCalls();
+        if (!keepsConnection) {
             abandonRequest();
         }
         boolean hasChanges = list.snapshot() || !list.endpoints().isEmpty();
@@ -322,12 +407,22 @@
                 root.get("index").asLong(), root.path("snapshot").asBoolean(), endpoints);
     }
 
-    /** Passes on the responses of the connection in use. */
+    private OverdueCall overdueCallOn(Channel callChannel) {
+        return overdueCalls.stream()
+                .filter(call -> call.channel == callChannel)
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Passes on the responses of the connection in use, and late ones of those before it. */
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            OverdueCall overdue = overdueCallOn(ctx.channel());
             if (ctx.channel() == channel && timeout != null) {
                 responseReceived(response);
+            } else if (overdue != null) {
+                overdueResponseReceived(overdue, response);
             } else {
                 // An unsolicited response: those that follow would be taken for the responses to later requests.
                 ctx.close();
@@ -336,6 +431,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            overdueCalls.remove(overdueCallOn(ctx.channel()));
             if (ctx.channel() == channel) {
                 requestFailed(currentRequest, "connection closed");
             }
--- a/src/main/java/gatefront/padron/package-info.java
+++ b/src/main/java/gatefront/padron/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Follows the server list over the protocol of the platform's discovery service, the padrón. Runs on the agent's event
- * loop and owns one connection and the version of the list last received.
+ * loop and owns the connections to it and the version of the list last received.
  */
 package gatefront.padron;
--- a/src/test/java/gatefront/padron/DiscoveryTest.java
+++ b/src/test/java/gatefront/padron/DiscoveryTest.java
@@ -28,8 +28,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Following the server list with a padrón that misbehaves. Uses virtual time; the one-way network delay is 10 ms. */
 class DiscoveryTest {
@@ -99,10 +102,16 @@
     }
 
     private Discovery follow(String name, int lastAddressByte, String seed) throws Exception {
+        return follow(name, lastAddressByte, seed, "automatic");
+    }
+
+    /** Starts an agent with a mode of discovery: "automatic", or "subscribe" if the policy decides when to ask. */
+    private Discovery follow(String name, int lastAddressByte, String seed, String mode) throws Exception {
         VirtualHost agent = host(name, lastAddressByte);
         ObjectNode root =
                 (ObjectNode) new ObjectMapper().readTree(Files.readAllBytes(Path.of("src/test/resources/config.json")));
         root.put("discovery", "127.0.0.2:" + PORT).put("seed", seed);
+        ((ObjectNode) root.get("settings")).put("discovery", mode);
         Discovery discovery = new Discovery(agent, Config.fromJson(root), new Discovery.Listener() {
             @Override
             public void listReceived(ListKind kind, List<Endpoint> endpoints) {
@@ -143,6 +152,22 @@
                         + "]}");
     }
 
+    private static Script after(long delayMs, Script script) {
+        return ctx -> ctx.executor().schedule(() -> script.run(ctx), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private static Script silence() {
+        return ctx -> {};
+    }
+
+    private int openConnections() {
+        return connections - closedConnections;
+    }
+
+    private long fullListRequests() {
+        return requestUris.stream().filter("/v1/servers"::equals).count();
+    }
+
     private String lastRequestUri() {
         return requestUris.get(requestUris.size() - 1);
     }
@@ -204,7 +229,7 @@
         discovery.fetchFullList();
         advance(500);
         assertEquals("/v1/servers", requestUris.get(0));
-        assertEquals(1, requestUris.stream().filter("/v1/servers"::equals).count(), "requested once: " + requestUris);
+        assertEquals(1, fullListRequests(), "requested once: " + requestUris);
         assertEquals(List.of("FULL [s-1]"), events);
         assertEquals(1, connections - closedConnections, "the first connection is closed");
     }
@@ -320,4 +345,157 @@
                     "a watch continues within 200 ms of its last response");
         }
     }
+
+    /**
+     * Guards against an agent that never gets a list: each call was given up after 2 s, and the next one as well, so a
+     * service that takes longer for every call was never heard.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1_900, 2_100, 2_500, 2_950, 4_300, 6_000, 7_500})
+    void listOfASlowServiceIsReceivedByTheFirstCall(long callMs) throws Exception {
+        for (int i = 0; i < 10; i++) {
+            scripts.add(after(callMs, list(4 + i, true, 1 + i)));
+        }
+        follow("agent", 1, "1");
+        advance(callMs + 50);
+        assertEquals("FULL [s-1]", events.get(events.size() - 1), events.toString());
+        assertEquals(1, openConnections(), "the repeated calls are closed");
+        advance(200);
+        assertTrue(lastRequestUri().contains("since=4&"), "continues from that list: " + requestUris);
+    }
+
+    /** Guards against a slow service whose changes are given up, as its watches take longer than the timeout. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_100, 2_500, 4_300})
+    void changeOfASlowServiceIsReceivedByTheWatchThatWaitsForIt(long callMs) throws Exception {
+        scripts.add(list(4, true, 1));
+        scripts.add(after(5_000 + callMs, list(5, false, 2)));
+        for (int i = 0; i < 5; i++) {
+            scripts.add(after(5_000 + callMs, list(6 + i, false, 3)));
+        }
+        follow("agent", 1, "1");
+        advance(5_250 + callMs);
+        assertEquals("DELTA [s-2]", events.get(events.size() - 1), events.toString());
+        assertEquals(1, openConnections(), "the repeated calls are closed");
+    }
+
+    /** Guards against waiting longer than 2 s for a connection that has fallen silent. */
+    @Test
+    void listIsReceivedOnASecondConnectionWhileTheFirstIsSilent() throws Exception {
+        scripts.add(silence());
+        scripts.add(list(4, true, 1));
+        follow("agent", 1, "1");
+        advance(2_200);
+        assertEquals(List.of("failed: no answer", "FULL [s-1]"), events);
+        assertEquals(2, fullListRequests());
+        assertEquals(1, openConnections(), "the silent connection is closed");
+    }
+
+    /** A silent connection must not cost the slow responses on the connections after it. */
+    @Test
+    void slowListIsReceivedBesideASilentConnection() throws Exception {
+        scripts.add(silence());
+        scripts.add(after(2_500, list(4, true, 1)));
+        scripts.add(after(2_500, list(5, true, 2)));
+        follow("agent", 1, "1");
+        advance(4_700);
+        assertEquals("FULL [s-1]", events.get(events.size() - 1), events.toString());
+    }
+
+    /** Guards against connections that pile up while discovery is silent for long. */
+    @Test
+    void silentServiceHoldsFewConnections() throws Exception {
+        follow("agent", 1, "1");
+        for (int second = 0; second < 120; second++) {
+            advance(1_000);
+            assertTrue(openConnections() <= 4, openConnections() + " connections after " + second + " s");
+        }
+        scripts.add(list(4, true, 1));
+        advance(3_100);
+        assertEquals("FULL [s-1]", events.get(events.size() - 1));
+        assertEquals(1, openConnections());
+    }
+
+    /** Where the policy asks again after a failure, a list that came late meanwhile must not be asked for once more. */
+    @Test
+    void lateListIsFollowedWithoutTheRepeatedCallOfThePolicy() throws Exception {
+        scripts.add(after(2_500, list(4, true, 1)));
+        Discovery discovery = follow("agent", 1, "1", "subscribe");
+        advance(2_700);
+        assertEquals(List.of("failed: no answer", "FULL [s-1]"), events);
+        discovery.watch(); // as the policy does after its backoff
+        advance(1_000);
+        assertEquals(2, requestUris.size(), requestUris.toString());
+        assertTrue(lastRequestUri().contains("since=4&"));
+        assertEquals(1, connections);
+    }
+
+    /** A late refusal or unusable list must neither end the repeated call nor be reported a second time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503", "unusable", "closed"})
+    void lateFailureDoesNotEndTheRepeatedCall(String failure) throws Exception {
+        scripts.add(after(
+                3_000,
+                switch (failure) {
+                    case "503" -> respondWith(503, "");
+                    case "unusable" -> respondWith(200, "{\"index\":9}");
+                    default -> ChannelHandlerContext::close;
+                }));
+        scripts.add(after(1_500, list(4, true, 1)));
+        follow("agent", 1, "1");
+        advance(3_800);
+        assertEquals(List.of("failed: no answer", "FULL [s-1]"), events);
+        assertEquals(2, fullListRequests());
+        assertEquals(1, openConnections());
+    }
+
+    /** Guards against the list of an address that is no longer followed. */
+    @Test
+    void lateListOfAFormerAddressIsNotUsed() throws Exception {
+        VirtualHost other = host("other padron", 3);
+        scripts.add(after(2_500, list(9, true, 9)));
+        Discovery discovery = follow("agent", 1, "1");
+        advance(2_000);
+        discovery.changeAddress(other.address(PORT));
+        advance(1_000);
+        assertTrue(events.stream().noneMatch(event -> event.startsWith("FULL")), events.toString());
+        assertEquals(0, openConnections());
+    }
+
+    /** Guards against late changes of a process at the address that has ended since. */
+    @Test
+    void lateChangesAreNotUsedOnceTheAddressHasRefusedConnections() throws Exception {
+        scripts.add(list(40, true, 1, 2));
+        scripts.add(ctx -> {
+            listener.close();
+            after(7_600, list(41, false, 3)).run(ctx);
+        });
+        follow("agent", 1, "1");
+        advance(8_000);
+        assertTrue(events.contains("failed: no connection"), events.toString());
+        assertTrue(events.stream().noneMatch(event -> event.startsWith("DELTA")), events.toString());
+        scripts.add(list(3, true, 2, 4));
+        listen();
+        advance(3_000);
+        assertTrue(events.contains("FULL [s-2, s-4]"), events.toString());
+    }
+
+    /** Many agents start together at a service that works through calls in turn, whether or not they still wait. */
+    @Test
+    void agentsThatAskTogetherAllGetTheListOfABusyService() throws Exception {
+        int agents = 20;
+        long[] freeAtMs = {0};
+        for (int i = 0; i < 10 * agents; i++) {
+            scripts.add(ctx -> {
+                long nowMs = time.nanoTime() / MS;
+                freeAtMs[0] = Math.max(nowMs, freeAtMs[0]) + 200;
+                after(freeAtMs[0] - nowMs, list(4, true, 1)).run(ctx);
+            });
+        }
+        for (int i = 0; i < agents; i++) {
+            follow("agent-" + i, 10 + i, Integer.toHexString(i + 1));
+        }
+        advance(agents * 200 + 200);
+        assertEquals(agents, events.stream().filter("FULL [s-1]"::equals).count(), events.toString());
+    }
 }
