Shutdown: late long responses are passed on only if they will be complete

Cause: the plan of a shutdown counts on deadlines, but a streamed response has none once it has begun, failAllPending leaves it out, and nothing else bounded it.

Change: of a streamed response to a request that came later than 0.65 s after SIGTERM nothing is passed on until it is complete, or expected to be complete 0.05 s before the kill; otherwise the request is refused (503, safe) or fails (502), and its client is told. The prediction is pure (ResponseForecast); what is held is bounded and in an account.

Failed tries: the rate of all bytes (a first burst makes it far too high); the rate behind a burst of 20 ms (wrong when the burst is read slowly, and at the first read of a large piece: sound responses of 200 KB pieces were refused); deciding by the guess on whichever response brought a chunk when memory was short (refused sound ones, passed on chunked ones of 2 s).

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -15,6 +15,7 @@
 import gatefront.padron.Discovery;
 import gatefront.policy.Balancer;
 import gatefront.recovery.StallDetector;
+import gatefront.shutdown.ShutdownSchedule;
 import gatefront.status.MemoryWatch;
 import gatefront.status.StatusEndpoint;
 import gatefront.thrift.ThriftFrontend;
@@ -53,20 +54,8 @@
      * most that long.
      */
     private static final long IDLE_STOP_DELAY_MS = 500;
-    /** An agent is killed this long after the longest deadline of a request has passed, in milliseconds. */
-    private static final long KILL_AFTER_MS = 700;
-    /** Longer deadlines count as this much until the kill, in milliseconds. */
-    private static final long MAX_COUNTED_DEADLINE_MS = 3_000;
-    /** Time between the last responses and the moment when the agent is killed, in milliseconds. */
-    private static final long FINAL_RESPONSE_MARGIN_MS = 200;
-
-    /** Time between the start of closing connections and the last responses, in milliseconds. */
-    private static final long CONNECTION_CLOSE_MS = 300;
-    /**
-     * Maximum time after a stop was requested until connections begin to close, whatever the deadlines, in
-     * milliseconds.
-     */
-    private static final long MAX_SERVE_AFTER_STOP_MS = 2_000;
+    /** Time between the start of closing connections and the closing of the listeners, in milliseconds. */
+    private static final long STOP_LISTENING_DELAY_MS = 150;
     /** The file in which two processes of one agent share the ids of requests. */
     private static final String SENT_REQUEST_IDS_FILE = "gatefront-request-ids";
     /** Maximum wait for the first server list before the known one is used, in milliseconds. */
@@ -669,7 +658,8 @@
      * Begins a graceful shutdown: continues to serve for as long as the time until the kill allows, then completes the
      * open requests. Guards against an outage when agents are restarted in turn and one takes longer than planned to
      * become ready: clients keep using their existing connections. Drawbacks: if the process is killed sooner than the
-     * protocol promises, requests are still open; and a restart may take 2 s longer.
+     * protocol promises, requests are still open; a restart may take 2 s longer; and a request that arrives late and
+     * whose response would not be complete before the kill is refused, also if the kill comes later than that.
      */
     public void startShutdown() {
         if (stopping.getAndSet(true)) {
@@ -680,17 +670,17 @@
                         .max()
                         .orElse(0)
                 / 1000;
-        long lastResponseMs =
-                Math.min(MAX_COUNTED_DEADLINE_MS, longestDeadlineMs) + KILL_AFTER_MS - FINAL_RESPONSE_MARGIN_MS;
+        ShutdownSchedule schedule = ShutdownSchedule.of(longestDeadlineMs);
+        long stopNanos = transport.nanos();
         loop.execute(() -> {
             boolean hasSuccessor = operatorControls != null && listening && operatorControls.hasSuccessor();
             frontends.forEach(hasSuccessor ? Frontend::handOver : Frontend::markNotReady);
+            engine.beginShutdown(
+                    stopNanos + TimeUnit.MILLISECONDS.toNanos(schedule.lateRequestsMs()),
+                    stopNanos + TimeUnit.MILLISECONDS.toNanos(schedule.lastBodyMs()));
             loop.schedule(this::drainIfIdle, hasSuccessor ? 0 : IDLE_STOP_DELAY_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(
-                    this::beginDrain,
-                    Math.min(MAX_SERVE_AFTER_STOP_MS, lastResponseMs - CONNECTION_CLOSE_MS),
-                    TimeUnit.MILLISECONDS);
-            loop.schedule(engine::failAllPending, lastResponseMs, TimeUnit.MILLISECONDS);
+            loop.schedule(this::beginDrain, schedule.closeConnectionsMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(engine::failAllPending, schedule.lastResponseMs(), TimeUnit.MILLISECONDS);
         });
     }
 
@@ -707,7 +697,7 @@
             drainStarted = true;
             frontends.forEach(Frontend::drain);
             loop.schedule(
-                    () -> frontends.forEach(Frontend::stopListening), CONNECTION_CLOSE_MS / 2, TimeUnit.MILLISECONDS);
+                    () -> frontends.forEach(Frontend::stopListening), STOP_LISTENING_DELAY_MS, TimeUnit.MILLISECONDS);
             closeWhenDrained();
         }
     }
--- a/src/main/java/gatefront/engine/BodyStream.java
+++ b/src/main/java/gatefront/engine/BodyStream.java
@@ -45,6 +45,15 @@
         void onAbort();
     }
 
+    /** Keeps chunks back until a consumer is attached; bounds what is held. */
+    public interface Holder {
+        /** This many more bytes are held. */
+        void onHeld(int bytes);
+
+        /** The body has ended, complete or not, before a consumer was attached. */
+        void onEnd(boolean complete);
+    }
+
     private enum State {
         OPEN,
         COMPLETED,
@@ -61,6 +70,9 @@
 
     private long transferredBytes;
     private Consumer consumer;
+    /** Bounds what is held in place of the window; null unless the body is held back. */
+    private Holder holder;
+
     private boolean producerPaused;
     private State state = State.OPEN;
 
@@ -78,11 +90,20 @@
         }
         pending.add(chunk);
         unwrittenBytes += chunk.readableBytes();
-        deliver();
-        producerPaused = state == State.OPEN && unwrittenBytes >= window.bytes();
+        if (holder != null) {
+            holder.onHeld(chunk.readableBytes());
+        } else {
+            deliver();
+        }
+        producerPaused = state == State.OPEN && holder == null && unwrittenBytes >= window.bytes();
         return !producerPaused;
     }
 
+    /** Holds the body back until a consumer is attached; the window does not count before. */
+    public void hold(Holder newHolder) {
+        holder = newHolder;
+    }
+
     /** Called by the producer when it has written all chunks. */
     public void complete() {
         finish(State.COMPLETED);
@@ -99,12 +120,17 @@
     private void finish(State endState) {
         if (state == State.OPEN) {
             state = endState;
-            deliver();
+            if (holder != null) {
+                holder.onEnd(endState == State.COMPLETED);
+            } else {
+                deliver();
+            }
         }
     }
 
     /** Sets the consumer of all pending and further chunks. */
     public void attach(Consumer newConsumer) {
+        holder = null;
         consumer = newConsumer;
         deliver();
     }
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -10,7 +10,6 @@
 import gatefront.recovery.StallDetector;
 import gatefront.transport.Transport;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -72,6 +71,8 @@
     private long nextId = 1;
     /** Whether the module is running an event. */
     private boolean dispatching;
+
+    private final ShutdownResponses shutdownResponses;
     /** Holds back events while the server list may be out of date. */
     private final EventSuspension suspension;
 
@@ -87,38 +88,6 @@
     /** Numbers of requests in progress, outstanding attempts, and servers that state is kept for. */
     public record TrackedCounts(int requests, int attempts, int servers) {}
 
-    /** A request in progress. */
-    private static final class Pending {
-        final long id;
-        final ClientRequest request;
-        final Exchange exchange;
-        final Upstream upstream;
-        final List<Upstream.Attempt> attempts = new ArrayList<>(1);
-        int outstandingAttempts;
-        /** Attempts whose request was sent whole, less those that have proved not to have run. */
-        int attemptsSent;
-
-        boolean answered;
-        /** Whether a response is being streamed to the client. */
-        boolean streaming;
-
-        Payload streamedResponse;
-        Future<?> deadlineTimer;
-
-        Pending(long id, ClientRequest request, Exchange exchange, Upstream upstream) {
-            this.id = id;
-            this.upstream = upstream;
-            this.request = request;
-            this.exchange = exchange;
-        }
-
-        @Override
-        public String toString() {
-            return request.id() + " of class " + request.className() + ", " + request.timeoutMs() + " ms, attempts "
-                    + attempts.size() + ", may have run " + attemptsSent;
-        }
-    }
-
     /**
      * Creates an engine without requests or servers.
      *
@@ -148,6 +117,7 @@
         budget.addRecount(ResourcePurpose.SERVERS, () -> new ResourceBudget.Count(serverNames.size(), 0));
         this.transport = transport;
         this.suspension = new EventSuspension(transport);
+        this.shutdownResponses = new ShutdownResponses(transport, budget.account(ResourcePurpose.SERVER_ANSWERS));
         this.settings = settings;
         this.classLimits = new ClassLimits(settings.classes().size());
         this.counters = new RequestCounters(settings.classes().size());
@@ -224,10 +194,15 @@
         classLimits.setLimits(maxInProgressByClass);
     }
 
-    /** Ends all requests in progress whose response has not begun, as if their time were up. */
+    /** Begins to hold responses back; see {@link ShutdownResponses#begin}. */
+    public void beginShutdown(long lateNanos, long endNanos) {
+        shutdownResponses.begin(lateNanos, endNanos);
+    }
+
+    /** Ends all requests in progress of whose response nothing has been passed on, as if their time were up. */
     public void failAllPending() {
         Set<Pending> waiting = new HashSet<>(pendingById.values());
-        waiting.removeIf(pending -> pending.streaming);
+        waiting.removeIf(pending -> pending.streaming && pending.heldResponse == null);
         waiting.forEach(this::deadlinePassed);
     }
 
@@ -294,9 +269,7 @@
             logLine("request given up: " + reason + ", " + pending);
             pending.exchange.failed(reason);
             counters.recordError(pending.request.requestClass());
-            markAnswered(pending);
-            dispatch(() -> balancer.clientLeft(now(), pending.id));
-            cancelAttempts(pending);
+            endAnswered(pending);
         }
     }
 
@@ -392,7 +365,7 @@
         classLimits.requestStarted(request.requestClass());
         counters.recordStarted();
         long id = nextId++;
-        Pending pending = new Pending(id, request, exchange, upstream);
+        Pending pending = new Pending(id, request, exchange, upstream, sentNanos);
         pendingById.put(id, pending);
         pendingByExchange.put(exchange, pending);
         pendingByClientId.put(request.id(), pending);
@@ -460,7 +433,8 @@
     /** Fails a request unless a server has begun a response that can be streamed to the client. */
     private void deadlinePassed(Pending pending) {
         for (Upstream.Attempt attempt : pending.attempts) {
-            if (attempt.streamBegunResponse()) {
+            if (attempt.streamBegunResponse()
+                    && (pending.heldResponse == null || pending.heldResponse.passOnIfInTime())) {
                 return;
             }
         }
@@ -483,9 +457,7 @@
         if (pending != null && !pending.answered) {
             traceEvent(pending.request, "abandoned: the client has left");
             counters.recordError(pending.request.requestClass());
-            markAnswered(pending);
-            dispatch(() -> balancer.clientLeft(now(), pending.id));
-            cancelAttempts(pending);
+            endAnswered(pending);
         }
     }
 
@@ -507,15 +479,37 @@
 
     /** Ends a request whose client may have left: it is refused, unless an attempt may have run. */
     private void endUnconfirmed(Pending pending) {
-        if (pending.attemptsSent > 0) {
-            traceEvent(pending.request, "failed: the client's close may lie behind unread input");
-            pending.exchange.failed(Exchange.Failure.NOT_SERVED);
-            counters.recordError(pending.request.requestClass());
-        } else {
-            traceEvent(pending.request, "refused: the client's close may lie behind unread input");
+        refuseOrFail(pending, pending.attemptsSent == 0, "the client's close may lie behind unread input");
+    }
+
+    private void passOnResponse(Pending pending) {
+        pending.heldResponse = null;
+        pending.deadlineTimer.cancel(false);
+        pending.exchange.served(pending.streamedResponse);
+    }
+
+    /** Ends a request of whose response nothing has been passed on, as it would not be complete before the kill. */
+    private void endUnfinishable(Pending pending) {
+        if (!pending.answered && pending.heldResponse != null) {
+            logLine("shutdown: response given up, it would not be complete in time, " + pending);
+            refuseOrFail(pending, pending.request.isSafe(), "its response would not be complete in time");
+        }
+    }
+
+    private void refuseOrFail(Pending pending, boolean canBeRefused, String reason) {
+        traceEvent(pending.request, (canBeRefused ? "refused: " : "failed: ") + reason);
+        if (canBeRefused) {
             pending.exchange.refused(RETRY_AFTER_MICROS);
             counters.recordShed(pending.request.requestClass());
+        } else {
+            pending.exchange.failed(Exchange.Failure.NOT_SERVED);
+            counters.recordError(pending.request.requestClass());
         }
+        endAnswered(pending);
+    }
+
+    /** Forgets a request that has its response, with the attempts that are left. */
+    private void endAnswered(Pending pending) {
         markAnswered(pending);
         dispatch(() -> balancer.clientLeft(now(), pending.id));
         cancelAttempts(pending);
@@ -542,6 +536,9 @@
             if (result.outcome() == Balancer.Outcome.OK) {
                 recordServed(pending, elapsedMicros, pending.streamedResponse);
             } else {
+                if (pending.heldResponse != null) {
+                    pending.exchange.failed(Exchange.Failure.NOT_SERVED); // nothing of it has been passed on
+                }
                 counters.recordError(pending.request.requestClass());
             }
             markAnswered(pending);
@@ -773,9 +770,13 @@
             }
             pending.streaming = true;
             pending.streamedResponse = response;
-            pending.deadlineTimer.cancel(false);
             reportStreaming();
-            pending.exchange.served(response);
+            if (shutdownResponses.isLate(pending)) {
+                pending.heldResponse = shutdownResponses.hold(
+                        response, () -> passOnResponse(pending), () -> loop.execute(() -> endUnfinishable(pending)));
+            } else {
+                passOnResponse(pending);
+            }
         }
 
         private void reportStreaming() {
--- a/src/main/java/gatefront/engine/Payload.java
+++ b/src/main/java/gatefront/engine/Payload.java
@@ -7,6 +7,11 @@
         return null;
     }
 
+    /** Returns the length of a streamed body; -1 if it is not known. */
+    default long bodyLength() {
+        return -1;
+    }
+
     /** Returns the number of bytes of the body that are in memory, or have been streamed so far. */
     default long bodyBytes() {
         return 0;
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -63,6 +63,11 @@
     /** A served response: its body, in memory or streamed, the length (-1 if unknown), and its type and encoding. */
     record ServedResponse(byte[] body, BodyStream bodyStream, long length, String contentType, String contentEncoding)
             implements Payload {
+        @Override
+        public long bodyLength() {
+            return length;
+        }
+
         @Override
         public long bodyBytes() {
             return bodyStream == null ? body.length : bodyStream.transferredBytes();
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -22,7 +22,8 @@
         "gatefront.budget..",
         "gatefront.limits..",
         "gatefront.ledger..",
-        "gatefront.recovery.."
+        "gatefront.recovery..",
+        "gatefront.shutdown.."
     };
 
     @Test
@@ -61,6 +62,8 @@
                 .definedBy("gatefront.ledgerstore..")
                 .layer("recovery")
                 .definedBy("gatefront.recovery..")
+                .layer("shutdown")
+                .definedBy("gatefront.shutdown..")
                 .layer("persistence")
                 .definedBy("gatefront.persistence..")
                 .layer("status")
@@ -94,7 +97,7 @@
                 .whereLayer("connection")
                 .mayOnlyAccessLayers("budget", "engine", "membership", "policy", "transport")
                 .whereLayer("engine")
-                .mayOnlyAccessLayers("budget", "limits", "membership", "policy", "recovery", "transport")
+                .mayOnlyAccessLayers("budget", "limits", "membership", "policy", "recovery", "shutdown", "transport")
                 .whereLayer("agent")
                 .mayOnlyBeAccessedByLayers("cli", "rehearsal")
                 .whereLayer("http")
@@ -121,6 +124,10 @@
                 .mayNotAccessAnyLayer()
                 .whereLayer("recovery")
                 .mayNotAccessAnyLayer()
+                .whereLayer("shutdown")
+                .mayOnlyBeAccessedByLayers("agent", "engine")
+                .whereLayer("shutdown")
+                .mayNotAccessAnyLayer()
                 .whereLayer("persistence")
                 .mayOnlyBeAccessedByLayers("agent", "cli")
                 .whereLayer("persistence")
