--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -201,7 +201,7 @@
 
     /** Ends all requests in progress of whose response nothing has been passed on, as if their time were up. */
     public void failAllPending() {
-        Set<Pending> waiting = new HashSet<>(pendingById.values());
+        List<Pending> waiting = new ArrayList<>(pendingById.values());
         waiting.removeIf(pending -> pending.streaming && pending.heldResponse == null);
         waiting.forEach(this::deadlinePassed);
     }
--- a/src/test/java/gatefront/rehearsal/RehearsalTest.java
+++ b/src/test/java/gatefront/rehearsal/RehearsalTest.java
@@ -12,7 +12,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -25,7 +24,7 @@
         return PlanReader.builtIn("rough").withSeconds(seconds);
     }
 
-    @Tag("known-red")
+    /** Guards against requests that a shutdown ends in an order which differs from run to run. */
     @Test
     void samePlanAndSeedGiveIdenticalReports() throws Exception {
         byte[] first = JsonReport.toBytes(new Rehearsal(rough(20), 7).run());
