--- a/src/test/java/gatefront/agent/LongResponseShutdownTest.java
+++ b/src/test/java/gatefront/agent/LongResponseShutdownTest.java
@@ -178,14 +178,14 @@
                 new ResponseShape(Framing.UNTIL_CLOSE, 16_000, 20, 16_000, 20));
         for (Outcome outcome : play(shapes, List.of("lookup", "order"), sentAfterMs)) {
             assertEquals(200, outcome.status, outcome.toString());
-            assertTrue(outcome.description.contains("firstBytes") && outcome.endMs <= KILL_MS, outcome.toString());
+            assertTrue(outcome.endMs <= KILL_MS, outcome.toString());
         }
         assertEquals(0, heldBytes(), "nothing is held any more");
     }
 
-    /** Guards against memory for the responses that are held, and against short ones refused beside them. */
+    /** Guards against many long responses at once of which some are passed on, and against short ones refused beside. */
     @Test
-    void manyLongResponsesAreHeldWithinTheirBoundBesideShortOnes() throws Exception {
+    void manyLongResponsesAreRefusedAndShortOnesServedBesideThem() throws Exception {
         List<ResponseShape> shapes = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             shapes.add(new ResponseShape(Framing.LENGTH, 60_000, 60, 60_000, 60));
