--- a/src/test/java/gatefront/agent/LongResponseShutdownTest.java
+++ b/src/test/java/gatefront/agent/LongResponseShutdownTest.java
@@ -183,7 +183,7 @@
         assertEquals(0, heldBytes(), "nothing is held any more");
     }
 
-    /** Guards against many long responses at once of which some are passed on, and against short ones refused beside. */
+    /** Guards against long responses of which some are passed on, many at once, and short ones refused beside. */
     @Test
     void manyLongResponsesAreRefusedAndShortOnesServedBesideThem() throws Exception {
         List<ResponseShape> shapes = new ArrayList<>();
