An upload in bursts is not refused between them because reading was paused for a moment

Callers saw: 504 for a long request while its client was still writing it in bursts, though its server took each burst at once: 2 MB in pieces of 70 KB every 30 ms with a timeout of 0.3 s, with a length or chunked.

Cause: a burst is longer than the window of a streamed body, so reading is paused for some milliseconds. For 0.3 s after a pause an empty socket counts for nothing, as the client's system may wait for a window; bursts that are less than 0.3 s apart so never counted.

Change: a system that waits for a window is woken by the agent's reading at once, or probes 0.2 s after its last segment at the earliest. What arrives after a silence of 5 ms or more, and within 0.15 s of what came before, was written after the silence. Times of arrival are those at which the socket was seen empty, so they are never late. It is looked at every 5 ms for 0.3 s after a pause, for clients on this machine only, as others' segments may be on the way for longer.

SendProgressTest has the bounds, a probe, and bytes that lay unread in a pause.

--- a/src/main/java/gatefront/http/HttpFrontend.java
+++ b/src/main/java/gatefront/http/HttpFrontend.java
@@ -34,6 +34,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -72,6 +73,8 @@
     private static final long UPLOAD_STALL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** Interval at which that is checked. */
     private static final long UPLOAD_STALL_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** Interval at which the receive queue of a streamed body is looked at after a pause of reading. */
+    private static final long PROGRESS_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
     private final Transport transport;
     private Config config;
@@ -486,6 +489,9 @@
         /** Passes a request body on; while it is not read, it tells how far the client may be. */
         private final class UploadProducer implements BodyStream.Producer {
             private final SendProgress progress = new SendProgress(bodyFraming, sentNanos());
+            private final boolean isLocalClient = channel.remoteAddress() instanceof InetSocketAddress client
+                    && client.getAddress().isLoopbackAddress();
+            private boolean isCheckScheduled;
             private final ChunkCollector collector = new ChunkCollector(this::passOn);
 
             private void passOn(ByteBuf chunk) {
@@ -506,9 +512,10 @@
 
             @Override
             public void onResume() {
-                progress.paused(transport.nanos());
+                progress.resumed(transport.nanos(), uploadedBytes);
                 if (!ignoresInput) {
                     channel.config().setAutoRead(true);
+                    scheduleProgressCheck();
                 }
             }
 
@@ -526,12 +533,33 @@
                 return progress.mayBeSentSinceNanos();
             }
 
+            /** Looks at the receive queue in short intervals for a while after a pause. */
+            private void scheduleProgressCheck() {
+                if (isCheckScheduled || !isLocalClient || transport.unreadInputBytes(channel) < 0) {
+                    return;
+                }
+                isCheckScheduled = true;
+                transport.loop().schedule(this::checkProgress, PROGRESS_CHECK_NANOS, TimeUnit.NANOSECONDS);
+            }
+
+            private void checkProgress() {
+                isCheckScheduled = false;
+                updateProgress();
+                boolean isRead = upload != null && uploadProducer == this && !upload.isPaused();
+                if (isRead && progress.isAfterPause(transport.nanos())) {
+                    scheduleProgressCheck();
+                }
+            }
+
             private void updateProgress() {
                 if (upload == null || uploadProducer != this) { // it is complete or was cancelled
                     return;
                 }
                 long nowNanos = transport.nanos();
                 int unreadBytes = transport.unreadInputBytes(channel);
+                if (isLocalClient && !upload.isPaused()) {
+                    progress.observeQueue(nowNanos, uploadedBytes, unreadBytes);
+                }
                 progress.received(nowNanos, uploadedBytes, unreadBytes, upload.isPaused());
             }
         }
--- a/src/main/java/gatefront/http/SendProgress.java
+++ b/src/main/java/gatefront/http/SendProgress.java
@@ -25,11 +25,25 @@
     /** Of the samples within a step only the last one is kept, which bounds their number. */
     private static final int SAMPLE_STEP_BYTES = 128 << 10;
 
+    /** An empty receive queue that stays so for this long is no moment between two segments that are on the way. */
+    private static final long MIN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    /** For so long after its last segment a system that waits for a window does not probe it; Linux takes 0.2 s. */
+    private static final long MAX_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** Stands for a time that is not known. */
+    private static final long UNKNOWN_NANOS = Long.MIN_VALUE;
+
     private final long framing;
     private final Deque<Sample> samples = new ArrayDeque<>();
     private long mayBeSentSinceNanos;
     private boolean wasPaused;
     private long lastPausedNanos;
+    private long arrivedBytes;
+    /** A time before which the latest bytes have not arrived. */
+    private long arrivedAfterNanos = UNKNOWN_NANOS;
+    /** Since when nothing has arrived and nothing is unread, while reading is on. */
+    private long emptySinceNanos = UNKNOWN_NANOS;
+    /** When that was last so. */
+    private long lastEmptyNanos = UNKNOWN_NANOS;
 
     /**
      * Creates the estimate for a body whose last byte was not written before {@code startNanos}.
@@ -41,10 +55,22 @@
         this.mayBeSentSinceNanos = startNanos;
     }
 
-    /** Notes that reading is paused from now on, or was until now. */
+    /** Notes that reading is paused from now on, as something has arrived. */
     void paused(long nowNanos) {
         wasPaused = true;
         lastPausedNanos = nowNanos;
+        arrived(nowNanos);
+    }
+
+    /** Notes that reading was paused until now. */
+    void resumed(long nowNanos, long receivedBytes) {
+        lastPausedNanos = nowNanos;
+        arrivedBytes = receivedBytes;
+    }
+
+    /** Returns whether reading was paused until a while ago, so that an empty receive queue is no sign by itself. */
+    boolean isAfterPause(long nowNanos) {
+        return wasPaused && nowNanos - lastPausedNanos < PAUSE_EFFECT_NANOS;
     }
 
     /**
@@ -66,6 +92,41 @@
         }
     }
 
+    /**
+     * Notes the state of the receive queue while reading is on, for clients on this machine, to be called before {@link
+     * #received}. If something arrives after a silence, and before a system that waits for a window would have probed
+     * it, the client's system had nothing to send in the silence.
+     */
+    void observeQueue(long nowNanos, long receivedBytes, int unreadBytes) {
+        if (receivedBytes > arrivedBytes || unreadBytes > 0) {
+            arrived(nowNanos);
+            arrivedBytes = receivedBytes;
+        }
+        if (unreadBytes == 0) {
+            emptySinceNanos = emptySinceNanos == UNKNOWN_NANOS ? nowNanos : emptySinceNanos;
+            lastEmptyNanos = nowNanos;
+        }
+    }
+
+    private void arrived(long nowNanos) {
+        if (emptySinceNanos == UNKNOWN_NANOS) {
+            return;
+        }
+        boolean wasSilent = lastEmptyNanos - emptySinceNanos >= MIN_SILENCE_NANOS;
+        boolean isProbe = arrivedAfterNanos == UNKNOWN_NANOS || nowNanos - arrivedAfterNanos >= MAX_GAP_NANOS;
+        if (wasSilent && !isProbe) {
+            advanceTo(lastEmptyNanos);
+        }
+        arrivedAfterNanos = lastEmptyNanos;
+        emptySinceNanos = UNKNOWN_NANOS;
+    }
+
+    private void advanceTo(long nanos) {
+        if (nanos - mayBeSentSinceNanos > 0) {
+            mayBeSentSinceNanos = nanos;
+        }
+    }
+
     /** Notes that the whole body has been read. */
     void completed(long receivedBytes) {
         applySamplesBelow(receivedBytes);
@@ -78,15 +139,14 @@
 
     /** While reading was not paused, the client was not kept from sending, and the end has not arrived. */
     private boolean isKnownToBeSending(long nowNanos, long receivedBytes, int unreadBytes) {
-        boolean keepsUp = !wasPaused || nowNanos - lastPausedNanos >= PAUSE_EFFECT_NANOS;
-        return keepsUp && unreadBytes <= 0
+        return !isAfterPause(nowNanos) && unreadBytes <= 0
                 || unreadBytes >= 0 && framing - receivedBytes > unreadBytes + MAX_SEND_BUFFER_BYTES;
     }
 
     /** Some of the bytes received were written after each sample that permits fewer. */
     private void applySamplesBelow(long receivedBytes) {
         while (!samples.isEmpty() && samples.peekFirst().writtenAtMostBytes() < receivedBytes) {
-            mayBeSentSinceNanos = samples.pollFirst().nanos();
+            advanceTo(samples.pollFirst().nanos());
         }
     }
 
--- a/src/test/java/gatefront/agent/SlowUploadsTest.java
+++ b/src/test/java/gatefront/agent/SlowUploadsTest.java
@@ -180,8 +180,31 @@
         assertServedThoughWritingTakesLongerThanTheTimeout(true);
     }
 
+    /**
+     * Guards against failing a request whose client writes in bursts that make the agent pause reading, though its
+     * server takes each of them at once.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // bytes, chunked, the client's piece and pause, timeout
+        "2000000, false, 70000, 30, 300",
+        "2000000, true, 70000, 30, 300",
+        "2000000, true, 90000, 20, 400",
+        "3000000, true, 150000, 60, 400",
+        "3000000, false, 150000, 60, 400",
+        "2000000, true, 100000, 90, 600",
+    })
+    void clientThatWritesInBurstsForLongerThanItWaitsIsServed(
+            int bytes, boolean chunked, int pieceBytes, long pauseMs, long timeoutMs) throws Exception {
+        assertServed(bytes, chunked, pieceBytes, pauseMs, timeoutMs);
+    }
+
     private void assertServedThoughWritingTakesLongerThanTheTimeout(boolean chunked) throws Exception {
-        int bytes = 30_000_000;
+        assertServed(30_000_000, chunked, 65_536, 1, 150);
+    }
+
+    private void assertServed(int bytes, boolean chunked, int pieceBytes, long pauseMs, long timeoutMs)
+            throws Exception {
         list(socket -> {
             InputStream in = socket.getInputStream();
             byte[] buffer = new byte[64 << 10];
@@ -199,8 +222,8 @@
         });
         fixture.start();
         Socket client = fixture.dial();
-        ScriptedPeer.write(client, head("pay", 150, chunked, bytes));
-        writeBody(client, chunked, bytes, 65_536, 1);
+        ScriptedPeer.write(client, head("pay", timeoutMs, chunked, bytes));
+        writeBody(client, chunked, bytes, pieceBytes, pauseMs);
         assertEquals(200, ScriptedPeer.read(client.getInputStream()).status());
     }
 
--- a/src/test/java/gatefront/http/SendProgressTest.java
+++ b/src/test/java/gatefront/http/SendProgressTest.java
@@ -89,6 +89,53 @@
         assertEquals(0, progress.mayBeSentSinceNanos());
     }
 
+    /** Plays two bursts, the second one at {@code secondMs}, with a pause within the first one. */
+    private static SendProgress afterTwoBursts(long drainedMs, long silentMs, long secondMs) {
+        SendProgress progress = new SendProgress(CHUNKED, 0);
+        progress.observeQueue(ms(1), 1_000, 0);
+        progress.paused(ms(10));
+        progress.received(ms(11), 60_000, 10_000, true);
+        progress.resumed(ms(14), 60_000);
+        progress.observeQueue(ms(drainedMs), 70_000, 0);
+        progress.observeQueue(ms(silentMs), 70_000, 0);
+        progress.paused(ms(secondMs));
+        return progress;
+    }
+
+    /** Guards against failing a request while its client writes in bursts, each of which is read at once. */
+    @Test
+    void silenceBetweenBurstsShowsThatNothingWasHeldBack() {
+        assertEquals(ms(40), afterTwoBursts(15, 40, 45).mayBeSentSinceNanos());
+    }
+
+    /** Guards against taking a client for sending whose system probes a closed window. */
+    @Test
+    void arrivalThatMayBeAProbeShowsNothing() {
+        assertEquals(ms(140), afterTwoBursts(15, 140, 150).mayBeSentSinceNanos());
+        assertEquals(0, afterTwoBursts(15, 140, 151).mayBeSentSinceNanos());
+        assertEquals(0, afterTwoBursts(15, 140, 215).mayBeSentSinceNanos());
+    }
+
+    @Test
+    void momentBetweenTwoSegmentsIsNoSilence() {
+        assertEquals(ms(20), afterTwoBursts(15, 20, 22).mayBeSentSinceNanos());
+        assertEquals(0, afterTwoBursts(15, 19, 22).mayBeSentSinceNanos());
+    }
+
+    /** Bytes that lay unread in a pause may have arrived long before, and a probe is due that much earlier. */
+    @Test
+    void bytesThatLayUnreadInAPauseDoNotCountAsArrivedAfterIt() {
+        SendProgress progress = new SendProgress(CHUNKED, 0);
+        progress.observeQueue(ms(1), 1_000, 0);
+        progress.paused(ms(10));
+        progress.resumed(ms(140), 60_000);
+        progress.observeQueue(ms(141), 65_000, 5_000);
+        progress.observeQueue(ms(142), 70_000, 0);
+        progress.observeQueue(ms(200), 70_000, 0);
+        progress.observeQueue(ms(211), 100_000, 0);
+        assertEquals(0, progress.mayBeSentSinceNanos());
+    }
+
     /**
      * A client writes into a buffer, from which a receive queue is filled, which the agent reads by turns, and a slower
      * server takes what the agent reads. The estimate is never late, and advances as the body does.
