SendProgress: comments say what its rules rely on

Need: the class comment claimed that the estimate is never late as long as 4 MB hold, and left out what the two other rules rely on; two fields and a method had comments that only made sense beside their neighbours.

Change: comments alone. Measured: javap -p -c of SendProgress and its record give the same bytecode before and after.

--- a/src/main/java/gatefront/http/SendProgress.java
+++ b/src/main/java/gatefront/http/SendProgress.java
@@ -7,8 +7,10 @@
 
 /**
  * Estimates since when the client of a streamed request body may have written the last byte, which may lie unread in
- * sockets on the way. The estimate is never later than the true time, as far as a client's system holds no more than
- * {@link #MAX_SEND_BUFFER_BYTES}.
+ * sockets on the way. Three rules tell that it was still writing at some time: an empty receive queue while reading is
+ * not paused; more that has been read, or is missing of a known length, than can have been written by then; and a
+ * silence that ends too soon for a probe of a closed window. They rely on a system that holds no more than {@link
+ * #MAX_SEND_BUFFER_BYTES}, and sends what it holds within {@link #PAUSE_EFFECT_NANOS} of a pause.
  */
 final class SendProgress {
     /** What the client can have written by a time: what had arrived by then, and as much as its system can hold. */
@@ -37,18 +39,21 @@
     private long mayBeSentSinceNanos;
     private boolean wasPaused;
     private long lastPausedNanos;
+    /** What had been read of the body when the receive queue was last looked at, or reading resumed. */
     private long arrivedBytes;
+
     /** A time before which the latest bytes have not arrived. */
     private long arrivedAfterNanos = UNKNOWN_NANOS;
     /** Since when nothing has arrived and nothing is unread, while reading is on. */
     private long emptySinceNanos = UNKNOWN_NANOS;
-    /** When that was last so. */
+    /** When the receive queue was last seen empty while reading was on. */
     private long lastEmptyNanos = UNKNOWN_NANOS;
 
     /**
-     * Creates the estimate for a body whose last byte was not written before {@code startNanos}.
+     * Creates the estimate for a body of which nothing has been observed.
      *
      * @param framing the length of the body; see {@link StrictHttpDecoders#framing}
+     * @param startNanos the estimate until more is known: when its first part was sent
      */
     SendProgress(long framing, long startNanos) {
         this.framing = framing;
@@ -143,7 +148,7 @@
                 || unreadBytes >= 0 && framing - receivedBytes > unreadBytes + MAX_SEND_BUFFER_BYTES;
     }
 
-    /** Some of the bytes received were written after each sample that permits fewer. */
+    /** Takes the client for still writing at each sample by which it cannot have written all that has been read. */
     private void applySamplesBelow(long receivedBytes) {
         while (!samples.isEmpty() && samples.peekFirst().writtenAtMostBytes() < receivedBytes) {
             advanceTo(samples.pollFirst().nanos());
