Tests: joined samples, bursts read late, and an estimate that does not go back

Need: of 17 guards of SendProgress and its calls taken out one at a time on scratch copies, six were noticed by no test: samples joined by steps, unread bytes as an arrival, the estimate going back, the byte count at a resume, the looks at the queue after a pause, and the rule for clients on this machine only.

Change: three tests in SendProgressTest, each seen to fail with its guard taken out; the product is unchanged.

Result: the class passes. Still unnoticed: the byte count at a resume, which changes nothing as a pause has ended the silence already; the looks at the queue, without which bursts are credited at the engine's check every 50 ms only; and the rule for clients on this machine, as all tests are.

--- a/src/test/java/gatefront/http/SendProgressTest.java
+++ b/src/test/java/gatefront/http/SendProgressTest.java
@@ -122,6 +122,37 @@
         assertEquals(0, afterTwoBursts(15, 19, 22).mayBeSentSinceNanos());
     }
 
+    @Test
+    void burstThatIsReadLateCountsFromWhenItWasSeenUnread() {
+        SendProgress progress = afterTwoBursts(15, 40, 45);
+        progress.resumed(ms(50), 140_000);
+        progress.observeQueue(ms(51), 140_000, 0);
+        progress.observeQueue(ms(90), 140_000, 0);
+        progress.observeQueue(ms(100), 140_000, 1);
+        assertEquals(ms(90), progress.mayBeSentSinceNanos());
+    }
+
+    /** Guards against a rule that knows less taking back what another one has told. */
+    @Test
+    void estimateDoesNotGoBack() {
+        SendProgress progress = afterTwoBursts(15, 40, 45);
+        progress.completed(11_000 + 60_000 + SEND_BUFFER_BYTES);
+        assertEquals(ms(40), progress.mayBeSentSinceNanos());
+    }
+
+    /** Guards against one sample for each read of a long body. */
+    @Test
+    void samplesOfOneStepAreJoined() {
+        SendProgress progress = pausedAtStart(CHUNKED);
+        progress.received(ms(50), RECEIVED_BYTES, UNREAD_BYTES, true);
+        progress.received(ms(60), RECEIVED_BYTES + 1, UNREAD_BYTES, true);
+        int firstSampleBytes = RECEIVED_BYTES + UNREAD_BYTES + SEND_BUFFER_BYTES;
+        progress.received(ms(70), firstSampleBytes + 1, UNREAD_BYTES, true);
+        assertEquals(0, progress.mayBeSentSinceNanos(), "the first sample is gone");
+        progress.received(ms(80), firstSampleBytes + 2, UNREAD_BYTES, true);
+        assertEquals(ms(60), progress.mayBeSentSinceNanos());
+    }
+
     /** Bytes that lay unread in a pause may have arrived long before, and a probe is due that much earlier. */
     @Test
     void bytesThatLayUnreadInAPauseDoNotCountAsArrivedAfterIt() {
