A response whose server falls silent is waited for, and costs no other request

Cause: one timer (PooledUpstream.STALL_TIMEOUT_NANOS, 4 s) stood for two questions. It told the decision module that the server fails, which is right, and it closed the client's connection, which is not: silence does not tell a server that has paused or is cut off from one that has gone, and a response that has begun has no deadline.

Change: at 4 s the module is told as before, once, and the place in the limit of the response's class is given back; the client waits on. The pure package `silence` decides for how long: 4 s if the list says that the server has started since, 10 s while it answers other requests (4 s after three such responses in a row that it left unfinished), 30 s else. What waits gives way where client connections, calls, server connections or memory get scarce, the longest stalled first, and ends with the time for bodies in a shutdown. The time in which a client did not read is no silence of its server, and the other way round; time in which the agent was suspended is neither.

--- a/src/main/java/gatefront/budget/ResourceBudget.java
+++ b/src/main/java/gatefront/budget/ResourceBudget.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -40,6 +41,8 @@
     private final Map<ResourcePurpose, LeakTrend> trends = new EnumMap<>(ResourcePurpose.class);
     /** One recount for each owner; frontends and upstreams of several protocols share an account. */
     private final Map<ResourcePurpose, List<Supplier<Count>>> recounts = new EnumMap<>(ResourcePurpose.class);
+
+    private final List<BooleanSupplier> reclaimers = new ArrayList<>();
     /** The accounts as an array: they are summed for each request, which must not allocate an iterator. */
     private final ResourceAccount[] accountsByOrdinal = new ResourceAccount[ResourcePurpose.values().length];
 
@@ -102,6 +105,25 @@
                 : held >= TIGHT_FRACTION * totalBytes ? Pressure.TIGHT : Pressure.NONE;
     }
 
+    /**
+     * Registers a function by which an owner gives up one thing that it keeps only while nothing is scarce.
+     *
+     * @param reclaimer returns whether it has given something up
+     */
+    public void addReclaimer(BooleanSupplier reclaimer) {
+        reclaimers.add(reclaimer);
+    }
+
+    /** Has an owner give up one thing that is kept only while nothing is scarce; returns whether one did. */
+    public boolean reclaim() {
+        for (BooleanSupplier reclaimer : reclaimers) {
+            if (reclaimer.getAsBoolean()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Registers a function by which an owner counts what it holds, for {@link #drift}. */
     public void addRecount(ResourcePurpose purpose, Supplier<Count> recount) {
         recounts.computeIfAbsent(purpose, key -> new ArrayList<>()).add(recount);
--- a/src/main/java/gatefront/connection/AbstractFrontend.java
+++ b/src/main/java/gatefront/connection/AbstractFrontend.java
@@ -263,7 +263,7 @@
      * next request may be on its way.
      */
     private void enforceConnectionLimit() {
-        if (isAtConnectionLimit() && !evictionScheduled) {
+        if ((isAtConnectionLimit() || isUnderPressure() && hasStreamedResponses()) && !evictionScheduled) {
             // As a task, and not while a channel is being read: closing reads from other channels.
             evictionScheduled = true;
             transport.loop().execute(this::evictSilentConnections);
@@ -290,6 +290,7 @@
 
     private void evictSilentConnections() {
         evictionScheduled = false;
+        endStalledResponses();
         while (isAtConnectionLimit()) {
             Connection oldest = oldestEvictable();
             if (oldest == null) {
@@ -302,6 +303,10 @@
         updateAccepting();
     }
 
+    private boolean hasStreamedResponses() {
+        return !connectionsByState.get(State.STREAMING_RESPONSE).isEmpty();
+    }
+
     /** Returns whether a connection has to be closed before another is accepted; those being closed do not count. */
     private boolean isAtConnectionLimit() {
         int closing = connectionsByState.get(State.LINGERING).size()
@@ -365,15 +370,42 @@
                 expired(State.KEEP_ALIVE, isUnderPressure() ? MIN_KEEP_ALIVE_NANOS : KEEP_ALIVE_NANOS),
                 "keep-alive timeout");
         expired(State.READING_REQUEST, READ_TIMEOUT_NANOS).forEach(Connection::timeOutIfSilent);
-        expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS)
+        expired(State.STREAMING_RESPONSE, STALL_TIMEOUT_NANOS).stream()
+                .filter(connection -> connection.hasReadNothingFor(STALL_TIMEOUT_NANOS))
                 .forEach(connection -> connection.close("the client reads nothing of a streamed response"));
         expired(State.WRITING_LAST_RESPONSE, LAST_WRITE_TIMEOUT_NANOS)
                 .forEach(connection -> connection.close("timeout of writing the last response"));
         expired(State.LINGERING, LINGER_NANOS).forEach(connection -> connection.close("the client has lingered"));
         closeSlowReaders();
+        endStalledResponses();
         enforceConnectionLimit();
     }
 
+    /**
+     * Ends responses whose servers are silent, as many as resources are short of. Guards against clients that are
+     * refused, or have to reconnect, because others wait for servers that may never go on.
+     */
+    private void endStalledResponses() {
+        int streaming = connectionsByState.get(State.STREAMING_RESPONSE).size();
+        long excess = Math.max(excessOf(connections.size(), maxConnections), excessOf(connectionAccount));
+        if (budget.pressure() != ResourceBudget.Pressure.NONE) {
+            excess = streaming;
+        }
+        excess = Math.min(streaming, Math.max(excess, excessOf(budget.account(ResourcePurpose.CALLS))));
+        while (excess > 0 && budget.reclaim()) {
+            excess--;
+        }
+    }
+
+    private static long excessOf(ResourceAccount account) {
+        return excessOf(account.entries(), account.entriesCap());
+    }
+
+    /** Returns how many entries have to go for the others not to be under pressure. */
+    private static long excessOf(long entries, long cap) {
+        return entries - (long) Math.ceil(PRESSURE_FRACTION * cap) + 1;
+    }
+
     /** Returns whether connections or resources are getting scarce; idle clients then have to reconnect. */
     private boolean isUnderPressure() {
         return connections.size() >= PRESSURE_FRACTION * maxConnections
@@ -488,6 +520,10 @@
                     || canReadAhead() && heldBytes < MAX_READ_AHEAD_WINDOWS * requestWindow.bytes();
         }
 
+        private boolean hasReadNothingFor(long nanos) {
+            return unwrittenBytes > 0 && transport.nanos() - readNothingSinceNanos >= nanos;
+        }
+
         /** Enters a state and restarts its clock; null means that the connection is closed. */
         protected final void transitionTo(State newState) {
             if (state != null) {
--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -10,6 +10,8 @@
 import gatefront.membership.Endpoint;
 import gatefront.policy.Balancer;
 import gatefront.policy.Balancer.Outcome;
+import gatefront.silence.ResponseSilence;
+import gatefront.silence.ServerRecord;
 import gatefront.transport.Transport;
 import gatefront.transport.UnopenedChannel;
 import io.netty.bootstrap.Bootstrap;
@@ -61,8 +63,6 @@
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
     /** Bytes at the end of what has arrived of a streamed request that are held back until more arrives. */
     private static final int HELD_BACK_BYTES = 256;
-    /** A streamed response of which nothing arrives for this long times out. */
-    private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     private final Transport transport;
     private final EventLoop loop;
@@ -81,6 +81,8 @@
     /** Window of the responses that are streamed to clients. */
     private final StreamWindow responseWindow;
 
+    private final StreamedResponses streamedResponses;
+
     /** The state kept for one server at one address. */
     private static final class Pool {
         final InetSocketAddress address;
@@ -89,6 +91,7 @@
         final Deque<Connection> idle = new ArrayDeque<>();
 
         final Set<Attempt> connecting = new LinkedHashSet<>();
+        final ServerRecord record = new ServerRecord();
         boolean retired;
 
         Pool(InetSocketAddress address, long quietPeriodNanos) {
@@ -121,6 +124,8 @@
         this.connectionAccount = budget.account(ResourcePurpose.SERVER_CONNECTIONS);
         this.responseAccount = budget.account(ResourcePurpose.SERVER_ANSWERS);
         this.responseWindow = new StreamWindow(budget.account(ResourcePurpose.ANSWERS));
+        this.streamedResponses = new StreamedResponses(transport);
+        budget.addReclaimer(() -> streamedResponses.endLongestStalled("connections or memory are scarce"));
         this.transport = transport;
         this.loop = transport.loop();
         this.maxConnections = maxConnections;
@@ -177,6 +182,7 @@
     @Override
     public void updateServer(Endpoint endpoint) {
         long id = endpoint.server().id();
+        streamedResponses.serverListed(id, endpoint.server().startedAt());
         Pool pool = pools.get(id);
         InetSocketAddress address = address(endpoint);
         if (endpoint.server().phase() != Balancer.Phase.READY || address == null) {
@@ -228,12 +234,17 @@
         }
     }
 
+    @Override
+    public void endStalledResponsesFrom(long nanos) {
+        streamedResponses.endStalledFrom(nanos);
+    }
+
     /**
      * Returns whether another connection may be opened; at the limit, closes the connection that has been idle for
-     * longest.
+     * longest, or ends the response that is stalled for longest.
      */
     private boolean ensureCapacity() {
-        if (connections < maxConnections && !connectionAccount.isFull()) {
+        if (hasCapacity()) {
             return true;
         }
         Connection oldest = null;
@@ -243,10 +254,15 @@
                 oldest = last;
             }
         }
-        if (oldest == null) {
-            return false;
+        if (oldest != null) {
+            oldest.channel.close();
+        } else {
+            streamedResponses.endLongestStalled("connections to servers are scarce");
         }
-        oldest.channel.close();
+        return hasCapacity();
+    }
+
+    private boolean hasCapacity() {
         return connections < maxConnections && !connectionAccount.isFull();
     }
 
@@ -284,24 +300,27 @@
 
     @Override
     public Upstream.Attempt send(long server, Payload request, long timeoutMicros, Listener listener) {
-        Attempt attempt = new Attempt(request, timeoutMicros, listener);
+        Attempt attempt = new Attempt(request, timeoutMicros, listener, false);
         attempt.start(server);
         return attempt;
     }
 
     @Override
     public void probe(long server, Listener listener) {
-        new Attempt(probe(), PROBE_TIMEOUT_MICROS, listener).start(server);
+        new Attempt(probe(), PROBE_TIMEOUT_MICROS, listener, true).start(server);
     }
 
     /** One sending of a request to a server, or a probe. */
-    protected final class Attempt implements Upstream.Attempt {
+    protected final class Attempt implements Upstream.Attempt, StreamedResponses.Response {
         private final Payload request;
         private final int number = ++attemptCount;
         private final Listener listener;
         private final long deadlineNanos;
         private final boolean hasDeadline;
         private final Future<?> timeoutTimer;
+        private final boolean isProbe;
+        private final long startWallMicros = transport.wallMicros();
+        private long server;
         private Pool pool;
         private Connection connection;
         private Channel connectingChannel;
@@ -319,11 +338,12 @@
          */
         private ByteBuf heldChunk;
 
-        /** When the server last sent some of the streamed response. */
-        private long lastProgressNanos;
+        /** The silence of the server in the streamed response; null before that begins. */
+        private ResponseSilence silence;
 
-        private Attempt(Payload request, long timeoutMicros, Listener listener) {
+        private Attempt(Payload request, long timeoutMicros, Listener listener, boolean isProbe) {
             this.request = request;
+            this.isProbe = isProbe;
             this.listener = listener;
             this.hasDeadline = timeoutMicros > 0;
             this.deadlineNanos = transport.nanos() + 1000 * timeoutMicros;
@@ -341,8 +361,9 @@
             return number;
         }
 
-        private void start(long server) {
-            pool = pools.get(server);
+        private void start(long chosenServer) {
+            server = chosenServer;
+            pool = pools.get(chosenServer);
             if (pool == null) {
                 end(Outcome.NEVER_SENT);
                 return;
@@ -412,39 +433,65 @@
             listener.onResponseStarted();
         }
 
-        /** Streams the response from now on: the timeout ends, and only a stall of the server ends the attempt. */
+        /** Streams the response from now on: the timeout ends, and only the server's silence ends the attempt. */
         public void startStreaming(Payload response, BodyStream stream) {
             responseStream = stream;
             if (timeoutTimer != null) {
                 timeoutTimer.cancel(false);
             }
-            recordProgress();
-            scheduleStallCheck();
+            silence = new ResponseSilence(pool.record, streamedResponses.nowNanos());
+            streamedResponses.add(this);
             listener.onResponseStreaming(response);
         }
 
         /** Records that the server has sent some of the response. */
         public void recordProgress() {
-            lastProgressNanos = transport.nanos();
+            silence.received(streamedResponses.nowNanos());
         }
 
-        /** Guards against holding open for ever a response that stops in the middle. */
-        private void scheduleStallCheck() {
-            loop.schedule(
-                    () -> {
-                        readArrivedResponse();
-                        if (!ended) {
-                            if (responseStream.isOpen()
-                                    && !responseStream.isPaused()
-                                    && transport.nanos() - lastProgressNanos > STALL_TIMEOUT_NANOS) {
-                                end(Outcome.TIMEOUT);
-                            } else {
-                                scheduleStallCheck();
-                            }
-                        }
-                    },
-                    STALL_TIMEOUT_NANOS / 4,
-                    TimeUnit.NANOSECONDS);
+        /** Records that the response is read again after a pause, in which the server could not send. */
+        public void recordResumedReading() {
+            silence.notRead(streamedResponses.nowNanos());
+        }
+
+        @Override
+        public long server() {
+            return server;
+        }
+
+        @Override
+        public ResponseSilence silence() {
+            return silence;
+        }
+
+        @Override
+        public boolean isOlderThan(long serverStartedAtMicros) {
+            return serverStartedAtMicros > startWallMicros;
+        }
+
+        @Override
+        public boolean isPaused() {
+            return responseStream.isPaused();
+        }
+
+        @Override
+        public void readArrived() {
+            readArrivedResponse();
+        }
+
+        @Override
+        public boolean reportStall() {
+            return listener.onResponseStalled();
+        }
+
+        @Override
+        public void abort(String reason) {
+            traceConnection(
+                    connection.channel,
+                    "the streamed response is ended, " + reason + ", after "
+                            + TimeUnit.NANOSECONDS.toMillis(streamedResponses.nowNanos() - silence.sinceNanos())
+                            + " ms without input");
+            end(Outcome.TIMEOUT);
         }
 
         /** Writes the head at once, and the body as it arrives. */
@@ -581,6 +628,8 @@
                 heldChunk.release();
                 heldChunk = null;
             }
+            streamedResponses.remove(this);
+            recordServerActivity(result.outcome());
             if (responseStream != null && responseStream.isOpen()) {
                 responseStream.abort();
             }
@@ -604,6 +653,17 @@
             }
             loop.execute(() -> listener.onResult(result));
         }
+
+        private void recordServerActivity(Outcome outcome) {
+            boolean responded = outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL;
+            if (responded && !isProbe) { // a server may answer probes, and nothing else
+                pool.record.heard(streamedResponses.nowNanos());
+            }
+            if (outcome == Outcome.FULL) {
+                // As a task, and not while a channel is being read: a response of another one may be ended.
+                loop.execute(() -> streamedResponses.serverTurnedAway(server));
+            }
+        }
     }
 
     /** One connection to a server. */
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -33,6 +33,8 @@
     /** Part of the client's timeout reserved for late timers and for sending the response, in microseconds. */
     private static final long DEADLINE_MARGIN_MICROS = 10_000;
 
+    private static final double[] NO_LOAD_REPORT = new double[0];
+
     private static final Pattern SERVER_PREFIX = Pattern.compile("^server (-?\\d+)");
 
     private final Transport transport;
@@ -194,9 +196,13 @@
         classLimits.setLimits(maxInProgressByClass);
     }
 
-    /** Begins to hold responses back; see {@link ShutdownResponses#begin}. */
+    /**
+     * Begins to hold responses back, see {@link ShutdownResponses#begin}; from {@code endNanos} on, silent servers are
+     * no longer waited for.
+     */
     public void beginShutdown(long lateNanos, long endNanos) {
         shutdownResponses.begin(lateNanos, endNanos);
+        upstreams.forEach(upstream -> upstream.endStalledResponsesFrom(endNanos));
     }
 
     /** Ends all requests in progress of whose response nothing has been passed on, as if their time were up. */
@@ -520,7 +526,13 @@
         pending.attempts.forEach(Upstream.Attempt::cancel);
     }
 
-    private void attemptEnded(Pending pending, int attempt, long server, long elapsedMicros, Upstream.Result result) {
+    private void attemptEnded(
+            Pending pending,
+            int attempt,
+            long server,
+            long elapsedMicros,
+            Upstream.Result result,
+            boolean outcomeReported) {
         pending.outstandingAttempts--;
         if (isTracing()) {
             traceEvent(
@@ -553,17 +565,19 @@
         }
         Balancer.Outcome outcome = requestRejected ? Balancer.Outcome.CANCELLED : result.outcome();
         removeIfDone(pending);
-        dispatch(
-                pending,
-                () -> balancer.outcome(
-                        now(),
-                        pending.id,
-                        attempt,
-                        server,
-                        outcome,
-                        elapsedMicros,
-                        pending.answered,
-                        result.loadReport()));
+        if (!outcomeReported) {
+            dispatch(
+                    pending,
+                    () -> balancer.outcome(
+                            now(),
+                            pending.id,
+                            attempt,
+                            server,
+                            outcome,
+                            elapsedMicros,
+                            pending.answered,
+                            result.loadReport()));
+        }
     }
 
     private void recordServed(Pending pending, long elapsedMicros, Payload response) {
@@ -590,7 +604,7 @@
         if (pending.answered && pending.outstandingAttempts == 0) {
             if (pendingById.remove(pending.id) != null) {
                 requestAccount.release(0);
-                classLimits.requestEnded(pending.request.requestClass());
+                releaseClassLimit(pending);
                 if (!pending.request.isSafe() && pending.attemptsSent == 0) {
                     sentRequestIds.release(pending.request.id(), transport.machineNanos());
                 }
@@ -599,6 +613,14 @@
         }
     }
 
+    /** No longer counts a request in the limit of its class. */
+    private void releaseClassLimit(Pending pending) {
+        if (pending.countsInClassLimit) {
+            pending.countsInClassLimit = false;
+            classLimits.requestEnded(pending.request.requestClass());
+        }
+    }
+
     // ---- Actions ----
 
     @Override
@@ -710,6 +732,9 @@
         /** Whether the whole request has been sent. */
         private boolean sent;
 
+        /** Whether the decision module has the outcome, as the response is stalled; it may still be completed. */
+        private boolean outcomeReported;
+
         AttemptListener(Pending pending, int attempt, long server, long sentAtMicros) {
             this.pending = pending;
             this.attempt = attempt;
@@ -724,7 +749,13 @@
             if (sent && result.outcome().neverRan()) {
                 pending.attemptsSent--;
             }
-            attemptEnded(pending, attempt, server, served ? latencyMicros : now() - latencyStartMicros, result);
+            attemptEnded(
+                    pending,
+                    attempt,
+                    server,
+                    served ? latencyMicros : now() - latencyStartMicros,
+                    result,
+                    outcomeReported);
         }
 
         @Override
@@ -779,6 +810,39 @@
             }
         }
 
+        /**
+         * The decision module counts a stalled response as one that has timed out, and the limit of its class does not
+         * count it, so that waiting for it costs no other request. Its client waits on, and gets the rest if it comes.
+         */
+        @Override
+        public boolean onResponseStalled() {
+            if (pending.heldResponse != null) {
+                return false; // nothing of it has been passed on, so the client can still be told
+            }
+            if (pending.exchange.clientPresence() == ClientPresence.LEFT) {
+                abandonRequest(pending.exchange);
+                return false;
+            }
+            if (!outcomeReported) {
+                outcomeReported = true;
+                traceEvent(pending.request, "attempt " + attempt + " is stalled in the middle of its response");
+                releaseClassLimit(pending);
+                long elapsedMicros = now() - latencyStartMicros;
+                dispatch(
+                        pending,
+                        () -> balancer.outcome(
+                                now(),
+                                pending.id,
+                                attempt,
+                                server,
+                                Balancer.Outcome.TIMEOUT,
+                                elapsedMicros,
+                                true,
+                                NO_LOAD_REPORT));
+            }
+            return true;
+        }
+
         private void reportStreaming() {
             dispatch(pending, () -> balancer.streamStarted(now(), pending.id, attempt, server, now() - sentAtMicros));
         }
--- a/src/main/java/gatefront/engine/Pending.java
+++ b/src/main/java/gatefront/engine/Pending.java
@@ -22,6 +22,9 @@
     /** Whether a response is being streamed to the client. */
     boolean streaming;
 
+    /** Whether it takes a place in the limit of its class. */
+    boolean countsInClassLimit = true;
+
     Payload streamedResponse;
     /** The streamed response while nothing of it is passed on; null otherwise. */
     HeldResponse heldResponse;
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -42,6 +42,16 @@
 
         /** A streamed response has started; its result is reported when the stream has ended. */
         default void onResponseStreaming(Payload response) {}
+
+        /**
+         * The server has been silent for long in the middle of a streamed response. Called at short intervals for as
+         * long as it is.
+         *
+         * @return whether the rest of the response is still wanted
+         */
+        default boolean onResponseStalled() {
+            return false;
+        }
     }
 
     /** One sending of a request to a server. */
@@ -69,6 +79,9 @@
     /** Closes the idle connections to a server. */
     void closeIdle(long server);
 
+    /** From a time on, ends streamed responses whose server is silent; on the clock of the transport. */
+    default void endStalledResponsesFrom(long nanos) {}
+
     /** Returns the number of servers that state is kept for. */
     int serverCount();
 
--- a/src/main/java/gatefront/http/HttpUpstream.java
+++ b/src/main/java/gatefront/http/HttpUpstream.java
@@ -297,6 +297,7 @@
 
                         @Override
                         public void onResume() {
+                            attempt.recordResumedReading();
                             setReading(true);
                         }
 
--- a/src/test/java/gatefront/ArchitectureTest.java
+++ b/src/test/java/gatefront/ArchitectureTest.java
@@ -23,7 +23,8 @@
         "gatefront.limits..",
         "gatefront.ledger..",
         "gatefront.recovery..",
-        "gatefront.shutdown.."
+        "gatefront.shutdown..",
+        "gatefront.silence.."
     };
 
     @Test
@@ -64,6 +65,8 @@
                 .definedBy("gatefront.recovery..")
                 .layer("shutdown")
                 .definedBy("gatefront.shutdown..")
+                .layer("silence")
+                .definedBy("gatefront.silence..")
                 .layer("persistence")
                 .definedBy("gatefront.persistence..")
                 .layer("status")
@@ -95,7 +98,7 @@
                 .whereLayer("rehearsal")
                 .mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("connection")
-                .mayOnlyAccessLayers("budget", "engine", "membership", "policy", "transport")
+                .mayOnlyAccessLayers("budget", "engine", "membership", "policy", "silence", "transport")
                 .whereLayer("engine")
                 .mayOnlyAccessLayers("budget", "limits", "membership", "policy", "recovery", "shutdown", "transport")
                 .whereLayer("agent")
@@ -128,6 +131,10 @@
                 .mayOnlyBeAccessedByLayers("agent", "engine")
                 .whereLayer("shutdown")
                 .mayNotAccessAnyLayer()
+                .whereLayer("silence")
+                .mayOnlyBeAccessedByLayers("connection")
+                .whereLayer("silence")
+                .mayNotAccessAnyLayer()
                 .whereLayer("persistence")
                 .mayOnlyBeAccessedByLayers("agent", "cli")
                 .whereLayer("persistence")
--- a/src/test/java/gatefront/agent/ScriptedPeer.java
+++ b/src/test/java/gatefront/agent/ScriptedPeer.java
@@ -48,6 +48,9 @@
     /** Connections that the other side has closed. */
     final List<Socket> closedByPeer = new CopyOnWriteArrayList<>();
 
+    /** Runs before each health check is answered. */
+    volatile Task beforeHealthCheck = () -> {};
+
     private final Script script;
 
     ScriptedPeer(Script script) throws IOException {
@@ -71,6 +74,7 @@
             while (true) {
                 Message message = read(socket.getInputStream());
                 if (message.target().equals("/healthz")) {
+                    beforeHealthCheck.run();
                     write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
