A large request whose server stops reading it is refused after 30 s

Cause: the client's time counts from when it may have written the whole body, and it cannot write while the agent does not read; its close lies behind unread input.

Change: a server that takes nothing in 30 checks, a second apart, while there is more for it, ends the attempt as one that did not run (silence.UploadSilence). Checks are counted, not time, so that a suspended agent blames nobody.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -12,6 +12,7 @@
 import gatefront.policy.Balancer.Outcome;
 import gatefront.silence.ResponseSilence;
 import gatefront.silence.ServerRecord;
+import gatefront.silence.UploadSilence;
 import gatefront.transport.Transport;
 import gatefront.transport.UnopenedChannel;
 import io.netty.bootstrap.Bootstrap;
@@ -502,6 +503,8 @@
             Channel channel = connection.channel;
             channel.writeAndFlush(requestMessage(request, number, 0)); // the timeout counts from the last byte
             listener.onRequestStreaming();
+            UploadSilence uploadSilence = new UploadSilence();
+            scheduleUploadCheck(upload, uploadSilence);
             upload.attach(new BodyStream.Consumer() {
                 @Override
                 public void onChunk(ByteBuf chunk) {
@@ -520,7 +523,10 @@
                 private void writeChunk(ByteBuf chunk) {
                     if (chunk != null) {
                         int bytes = chunk.readableBytes();
-                        channel.writeAndFlush(bodyChunk(chunk)).addListener(done -> upload.chunkWritten(bytes));
+                        channel.writeAndFlush(bodyChunk(chunk)).addListener(done -> {
+                            uploadSilence.taken(bytes);
+                            upload.chunkWritten(bytes);
+                        });
                     }
                 }
 
@@ -543,6 +549,30 @@
             });
         }
 
+        /**
+         * Guards against holding connections for ever for a server that has stopped reading a request, whose client may
+         * have left unnoticed: it is not read meanwhile.
+         */
+        private void scheduleUploadCheck(BodyStream upload, UploadSilence uploadSilence) {
+            loop.schedule(
+                    () -> {
+                        if (ended || requestSent) {
+                            return;
+                        }
+                        if (uploadSilence.check(upload.isPaused())) {
+                            traceConnection(
+                                    connection.channel,
+                                    "the server has stopped reading the request after " + uploadSilence.takenBytes()
+                                            + " bytes");
+                            end(Outcome.CONNECT_FAILED); // the last byte was not sent, so the request cannot have run
+                        } else {
+                            scheduleUploadCheck(upload, uploadSilence);
+                        }
+                    },
+                    UploadSilence.CHECK_NANOS,
+                    TimeUnit.NANOSECONDS);
+        }
+
         private void requestWritten(boolean complete) {
             if (complete) {
                 requestSent = true;
