An agent starts on a ledger that has reached its size limit

Cause: LedgerStore.open stores a record of the new epoch, which a full store refuses, and the start takes that for a ledger that cannot be used.

Change: the record is stored with the first entries of the epoch if it does not fit at the start; until the limit is raised, writes fail and are tried again, as in an agent that ran when the store got full. Other errors at the start end it as before.

--- a/src/main/java/gatefront/ledgerstore/LedgerStore.java
+++ b/src/main/java/gatefront/ledgerstore/LedgerStore.java
@@ -85,6 +85,9 @@
     private final long epoch;
     private long sequence;
     private long loggedRecords;
+    /** Whether the record of this epoch is stored; it comes before all others of the epoch. */
+    private boolean epochStored;
+
     /** The number of entries that this epoch has made in each period not yet closed. */
     private final Map<Long, Long> unclosedCounts = new TreeMap<>();
 
@@ -95,7 +98,8 @@
     }
 
     /**
-     * Opens or creates the ledger store of an instance.
+     * Opens or creates the ledger store of an instance. One that has reached its size limit can be opened; nothing can
+     * be added to it until the limit is raised.
      *
      * @throws IOException with a message of one line, if the store belongs to another instance, is in use or damaged,
      *     or a disk operation fails
@@ -112,7 +116,7 @@
             }
             LedgerStore ledgerStore = new LedgerStore(store, state);
             state.instance = instance;
-            store.append(List.of(ledgerStore.epochRecord()), true);
+            ledgerStore.storeEpochIfItFits();
             return ledgerStore;
         } catch (IOException e) {
             store.close();
@@ -234,6 +238,29 @@
         return new EntryId(state.instance, epoch, sequence + offset);
     }
 
+    /** Guards against a start that fails because the store is full: usage is counted in memory then. */
+    private void storeEpochIfItFits() throws StoreFailedException {
+        try {
+            storeEpoch();
+        } catch (StoreFailedException e) {
+            if (e.reason() != StoreFailedException.Reason.SIZE_LIMIT) {
+                throw e;
+            }
+        }
+    }
+
+    private void storeEpoch() throws StoreFailedException {
+        if (!epochStored) {
+            store.append(List.of(epochRecord()), true);
+            epochStored = true;
+        }
+    }
+
+    private void append(List<byte[]> records) throws StoreFailedException {
+        storeEpoch();
+        store.append(records, true);
+    }
+
     private void add(List<LedgerEntry> entries) throws StoreFailedException {
         if (entries.isEmpty()) {
             return;
@@ -248,7 +275,7 @@
         } catch (Ledger.Conflict e) {
             throw new IllegalStateException(e); // the ids are new, so there is no conflict
         }
-        store.append(entries.stream().map(LedgerStore::entryRecord).toList(), true);
+        append(entries.stream().map(LedgerStore::entryRecord).toList());
         state.ledger = updated;
         for (LedgerEntry entry : entries) {
             state.ownIds.add(entry.id());
@@ -278,7 +305,7 @@
             }
         }
         if (!records.isEmpty()) {
-            store.append(records, true);
+            append(records);
             state.ledger = updated;
             loggedRecords += records.size();
         }
@@ -286,12 +313,10 @@
 
     /** Stores the number of acknowledged entries. If this is lost, entries are sent again, which has no effect. */
     public void storeAcknowledged(long acknowledged) throws StoreFailedException {
-        store.append(
-                List.of(ByteBuffer.allocate(9)
-                        .put(ACKNOWLEDGED_RECORD)
-                        .putLong(acknowledged)
-                        .array()),
-                true);
+        append(List.of(ByteBuffer.allocate(9)
+                .put(ACKNOWLEDGED_RECORD)
+                .putLong(acknowledged)
+                .array()));
         state.acknowledged = acknowledged;
         loggedRecords++;
     }
@@ -321,6 +346,7 @@
             }
         }
         snapshot.finish();
+        epochStored = true;
         loggedRecords = 0;
     }
 
--- a/src/test/java/gatefront/ledgerstore/LedgerStoreTest.java
+++ b/src/test/java/gatefront/ledgerstore/LedgerStoreTest.java
@@ -12,6 +12,7 @@
 import gatefront.storage.CrashingDisk;
 import gatefront.storage.SigningKeys;
 import gatefront.storage.Store;
+import gatefront.storage.StoreFailedException;
 import gatefront.storage.StoreVerification;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -85,6 +86,40 @@
         }
     }
 
+    /** Guards against an agent that does not start any more once its ledger has reached its size limit. */
+    @Test
+    void fullStoreCanBeOpenedAndTakesEntriesOnceTheLimitIsRaised() throws IOException {
+        CrashingDisk disk = new CrashingDisk(1);
+        Store.Options small = new Store.Options(SigningKeys.NONE, 1 << 10, 4 << 10);
+        LedgerStore full = LedgerStore.open(disk, small, "agente-1");
+        StoreFailedException refused =
+                assertThrows(StoreFailedException.class, () -> recordUntilRefused(full, "before"));
+        assertEquals(StoreFailedException.Reason.SIZE_LIMIT, refused.reason());
+        long entries = full.ownCount();
+        full.close();
+        for (int restart = 0; restart < 50; restart++) {
+            LedgerStore again = LedgerStore.open(disk, small, "agente-1");
+            assertEquals(entries, again.ownCount());
+            assertThrows(StoreFailedException.class, () -> again.recordUsage(1, cell(1, "x".repeat(150), 1)));
+            again.close();
+        }
+        LedgerStore raised = LedgerStore.open(disk, new Store.Options(SigningKeys.NONE, 1 << 10, 1 << 20), "agente-1");
+        raised.recordUsage(1, cell(1, "after", 1));
+        raised.close();
+        LedgerStore last = LedgerStore.open(disk, Store.Options.DEFAULTS, "agente-1");
+        assertEquals(entries + 1, last.ownCount());
+        Set<EntryId> ids = new HashSet<>();
+        last.ownEntries(0, (int) last.ownCount()).forEach(entry -> ids.add(entry.id()));
+        assertEquals(entries + 1, ids.size(), "no id was given twice");
+        last.close();
+    }
+
+    private static void recordUntilRefused(LedgerStore store, String tenant) throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            store.recordUsage(1, cell(1, tenant + i, 1));
+        }
+    }
+
     @Test
     void powerLossesLeaveTheReceiverWithEachEntryOnce() throws IOException {
         int powerLosses = 0;
