Shutdown: stalled responses end with the requests that wait, not after the last bodies

Cause: a stalled response kept an agent that was told to end until 0.05 s before the kill, and up to 0.25 s longer, until the next check. What follows, the last write of the ledger and of the state, could come after the kill.

Change: the wait ends, at once, when the requests that still wait get their answers, 0.2 s before the kill.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -236,8 +236,8 @@
     }
 
     @Override
-    public void endStalledResponsesFrom(long nanos) {
-        streamedResponses.endStalledFrom(nanos);
+    public void stopWaitingForSilentServers() {
+        streamedResponses.stopWaiting();
     }
 
     /**
--- a/src/main/java/gatefront/connection/StreamedResponses.java
+++ b/src/main/java/gatefront/connection/StreamedResponses.java
@@ -44,8 +44,7 @@
     /** Each leaves when it has ended. */
     private final Set<Response> responses = new LinkedHashSet<>();
 
-    private boolean waitEnds;
-    private long waitEndNanos;
+    private boolean isWaitOver;
 
     /** Creates an instance that watches nothing. */
     StreamedResponses(Transport transport) {
@@ -74,10 +73,10 @@
         responses.remove(response);
     }
 
-    /** Ends stalled responses from a time on, on the clock of the transport. */
-    void endStalledFrom(long nanos) {
-        waitEnds = true;
-        waitEndNanos = nanos;
+    /** Ends the stalled responses, and from now on each that becomes stalled. */
+    void stopWaiting() {
+        isWaitOver = true;
+        List.copyOf(responses).forEach(this::check);
     }
 
     /** Takes note of a server's start time from the list: responses that it began before cannot be continued. */
@@ -161,8 +160,7 @@
         if (!isStalled(response)) {
             return;
         }
-        boolean waitIsOver = waitEnds && transport.nanos() - waitEndNanos >= 0;
-        if (waitIsOver || response.silence().isOver(nowNanos())) {
+        if (isWaitOver || response.silence().isOver(nowNanos())) {
             response.abort("its server is silent");
         } else if (!response.reportStall() && responses.contains(response)) {
             response.abort("its server is silent, and it is not waited for");
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -196,20 +196,20 @@
         classLimits.setLimits(maxInProgressByClass);
     }
 
-    /**
-     * Begins to hold responses back, see {@link ShutdownResponses#begin}; from {@code endNanos} on, silent servers are
-     * no longer waited for.
-     */
+    /** Begins to hold responses back; see {@link ShutdownResponses#begin}. */
     public void beginShutdown(long lateNanos, long endNanos) {
         shutdownResponses.begin(lateNanos, endNanos);
-        upstreams.forEach(upstream -> upstream.endStalledResponsesFrom(endNanos));
     }
 
-    /** Ends all requests in progress of whose response nothing has been passed on, as if their time were up. */
+    /**
+     * Ends all requests in progress of whose response nothing has been passed on, as if their time were up. Silent
+     * servers are no longer waited for.
+     */
     public void failAllPending() {
         List<Pending> waiting = new ArrayList<>(pendingById.values());
         waiting.removeIf(pending -> pending.streaming && pending.heldResponse == null);
         waiting.forEach(this::deadlinePassed);
+        upstreams.forEach(Upstream::stopWaitingForSilentServers);
     }
 
     // ---- Events ----
--- a/src/main/java/gatefront/engine/Upstream.java
+++ b/src/main/java/gatefront/engine/Upstream.java
@@ -79,8 +79,8 @@
     /** Closes the idle connections to a server. */
     void closeIdle(long server);
 
-    /** From a time on, ends streamed responses whose server is silent; on the clock of the transport. */
-    default void endStalledResponsesFrom(long nanos) {}
+    /** Ends the streamed responses whose server is silent, and from now on each whose server falls silent. */
+    default void stopWaitingForSilentServers() {}
 
     /** Returns the number of servers that state is kept for. */
     int serverCount();
--- a/src/test/java/gatefront/connection/StreamedResponsesTest.java
+++ b/src/test/java/gatefront/connection/StreamedResponsesTest.java
@@ -159,13 +159,14 @@
     void stalledResponsesEndWhenTheTimeToWaitIsOver() {
         response("a");
         advanceMillis(5_000);
-        responses.endStalledFrom(host.nanos() + TimeUnit.SECONDS.toNanos(2));
         response("b");
-        advanceMillis(1_900);
+        advanceMillis(2_000);
         assertEquals(List.of(), ended);
-        advanceMillis(100 + CHECK_MS);
+        responses.stopWaiting();
+        assertEquals(List.of("a"), ended);
+        advanceMillis(1_900);
         assertEquals(List.of("a"), ended);
-        advanceMillis(2_500);
+        advanceMillis(100 + 2 * CHECK_MS);
         assertEquals(List.of("a", "b"), ended);
     }
 
