Connection, engine: the body writer and the attempt listener in files of their own

Change: Engine.AttemptListener moves to engine.AttemptListener, and the sending of a streamed body from PooledUpstream to connection.UploadWriter.

--- a/src/main/java/gatefront/connection/PooledUpstream.java
+++ b/src/main/java/gatefront/connection/PooledUpstream.java
@@ -12,7 +12,6 @@
 import gatefront.policy.Balancer.Outcome;
 import gatefront.silence.ResponseSilence;
 import gatefront.silence.ServerRecord;
-import gatefront.silence.UploadSilence;
 import gatefront.transport.Transport;
 import gatefront.transport.UnopenedChannel;
 import io.netty.bootstrap.Bootstrap;
@@ -62,8 +61,6 @@
     private static final int MAX_LOCAL_FAILURES = 10;
 
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
-    /** Bytes at the end of what has arrived of a streamed request that are held back until more arrives. */
-    private static final int HELD_BACK_BYTES = 256;
 
     private final Transport transport;
     private final EventLoop loop;
@@ -333,11 +330,8 @@
         private boolean ended;
         /** The response if it is being streamed, else null. */
         private BodyStream responseStream;
-        /**
-         * The end of what has arrived of a streamed request, or null. It is held back until more, or the end, has
-         * arrived, so that the last byte is sent only if the client is still there.
-         */
-        private ByteBuf heldChunk;
+        /** Sends the request if it is streamed; null otherwise. */
+        private UploadWriter uploadWriter;
 
         /** The silence of the server in the streamed response; null before that begins. */
         private ResponseSilence silence;
@@ -475,11 +469,6 @@
             return responseStream.isPaused();
         }
 
-        @Override
-        public void readArrived() {
-            readArrivedResponse();
-        }
-
         @Override
         public boolean reportStall() {
             return listener.onResponseStalled();
@@ -503,74 +492,40 @@
             Channel channel = connection.channel;
             channel.writeAndFlush(requestMessage(request, number, 0)); // the timeout counts from the last byte
             listener.onRequestStreaming();
-            UploadSilence uploadSilence = new UploadSilence();
-            scheduleUploadCheck(upload, uploadSilence);
-            upload.attach(new BodyStream.Consumer() {
+            uploadWriter = new UploadWriter(loop, channel, upload, new UploadWriter.Owner() {
                 @Override
-                public void onChunk(ByteBuf chunk) {
-                    if (ended) {
-                        chunk.release();
-                        return;
-                    }
-                    ByteBuf previous = heldChunk;
-                    int writable = chunk.readableBytes() - HELD_BACK_BYTES;
-                    ByteBuf beginning = writable > 0 ? chunk.readRetainedSlice(writable) : null;
-                    heldChunk = chunk; // before writing, which may deliver the next chunk
-                    writeChunk(previous);
-                    writeChunk(beginning);
+                public boolean isStillWanted() {
+                    return listener.isStillWanted();
                 }
 
-                private void writeChunk(ByteBuf chunk) {
-                    if (chunk != null) {
-                        int bytes = chunk.readableBytes();
-                        channel.writeAndFlush(bodyChunk(chunk)).addListener(done -> {
-                            uploadSilence.taken(bytes);
-                            upload.chunkWritten(bytes);
-                        });
-                    }
+                @Override
+                public Object chunkMessage(ByteBuf chunk) {
+                    return bodyChunk(chunk);
+                }
+
+                @Override
+                public Object endMessage() {
+                    return bodyEnd();
                 }
 
                 @Override
-                public void onComplete() {
-                    if (!listener.isStillWanted()) {
-                        end(Outcome.CANCELLED);
-                        return;
-                    }
-                    ByteBuf last = heldChunk;
-                    heldChunk = null;
-                    writeChunk(last);
-                    channel.writeAndFlush(bodyEnd()).addListener(done -> requestWritten(done.isSuccess()));
+                public void written(boolean complete) {
+                    requestWritten(complete);
                 }
 
                 @Override
-                public void onAbort() {
+                public void cancelled() {
                     end(Outcome.CANCELLED);
                 }
-            });
-        }
 
-        /**
-         * Guards against holding connections for ever for a server that has stopped reading a request, whose client may
-         * have left unnoticed: it is not read meanwhile.
-         */
-        private void scheduleUploadCheck(BodyStream upload, UploadSilence uploadSilence) {
-            loop.schedule(
-                    () -> {
-                        if (ended || requestSent) {
-                            return;
-                        }
-                        if (uploadSilence.check(upload.isPaused())) {
-                            traceConnection(
-                                    connection.channel,
-                                    "the server has stopped reading the request after " + uploadSilence.takenBytes()
-                                            + " bytes");
-                            end(Outcome.CONNECT_FAILED); // the last byte was not sent, so the request cannot have run
-                        } else {
-                            scheduleUploadCheck(upload, uploadSilence);
-                        }
-                    },
-                    UploadSilence.CHECK_NANOS,
-                    TimeUnit.NANOSECONDS);
+                @Override
+                public void serverStoppedReading(long takenBytes) {
+                    traceConnection(
+                            channel, "the server has stopped reading the request after " + takenBytes + " bytes");
+                    end(Outcome.CONNECT_FAILED); // the last byte was not sent, so the request cannot have run
+                }
+            });
+            uploadWriter.start();
         }
 
         private void requestWritten(boolean complete) {
@@ -620,7 +575,7 @@
         /** A streamed response has no timeout. What has just been read may begin one, too. */
         @Override
         public boolean streamBegunResponse() {
-            readArrivedResponse();
+            readArrived();
             if (!ended && responseStream == null && connection != null) {
                 connection.reader.streamBegunResponse(this);
             }
@@ -628,7 +583,8 @@
         }
 
         /** Guards against blaming the server for a response that arrived while the loop was held up. */
-        private void readArrivedResponse() {
+        @Override
+        public void readArrived() {
             if (!ended && connection != null) {
                 transport.readArrivedInput(connection.channel);
             }
@@ -654,9 +610,8 @@
                 return;
             }
             ended = true;
-            if (heldChunk != null) {
-                heldChunk.release();
-                heldChunk = null;
+            if (uploadWriter != null) {
+                uploadWriter.stop();
             }
             streamedResponses.remove(this);
             recordServerActivity(result.outcome());
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -33,24 +33,22 @@
     /** Part of the client's timeout reserved for late timers and for sending the response, in microseconds. */
     private static final long DEADLINE_MARGIN_MICROS = 10_000;
 
-    private static final double[] NO_LOAD_REPORT = new double[0];
-
     private static final Pattern SERVER_PREFIX = Pattern.compile("^server (-?\\d+)");
 
     private final Transport transport;
-    private final EventLoop loop;
+    final EventLoop loop;
     private final Balancer.Settings settings;
     private final long seed;
     /** One upstream for each protocol; the first one also sends the probes. */
     private final List<Upstream> upstreams;
 
     private final Source source;
-    private final Balancer balancer;
+    final Balancer balancer;
     private final ResourceBudget budget;
     private final ResourceAccount requestAccount;
     private final ResourceAccount serverAccount;
     private final ClassLimits classLimits;
-    private final RequestCounters counters;
+    final RequestCounters counters;
     private final SentRequestIds sentRequestIds;
     /** Records usage; null if usage is not recorded. */
     private UsageMeter usageMeter;
@@ -74,7 +72,7 @@
     /** Whether the module is running an event. */
     private boolean dispatching;
 
-    private final ShutdownResponses shutdownResponses;
+    final ShutdownResponses shutdownResponses;
     /** Holds back events while the server list may be out of date. */
     private final EventSuspension suspension;
 
@@ -241,7 +239,7 @@
     }
 
     /** Runs an event of one request, which is failed if the module throws. */
-    private void dispatch(Pending pending, Runnable event) {
+    void dispatch(Pending pending, Runnable event) {
         if (!suspension.defers(() -> dispatch(pending, event))) {
             runEvent(pending, event);
         }
@@ -407,7 +405,7 @@
      * Starts the timer that fails a request once the client's timeout has passed; returns how long that is from now, in
      * microseconds, 0 if it has passed already.
      */
-    private long startDeadlineTimer(Pending pending, long sentNanos) {
+    long startDeadlineTimer(Pending pending, long sentNanos) {
         long remainingMicros = remainingMicros(pending, sentNanos);
         pending.deadlineTimer = loop.schedule(() -> deadlinePassed(pending), remainingMicros, TimeUnit.MICROSECONDS);
         return remainingMicros;
@@ -422,7 +420,7 @@
      * Fails a request whose body is being streamed once the client's timeout has passed since it may have sent the last
      * byte. Until then checks again after a while, as the client may still be sending.
      */
-    private void scheduleUploadCheck(Pending pending, BodyStream upload) {
+    void scheduleUploadCheck(Pending pending, BodyStream upload) {
         long remainingMicros = remainingMicros(pending, upload.mayBeSentSinceNanos());
         pending.deadlineTimer = loop.schedule(
                 () -> {
@@ -458,7 +456,7 @@
         return admitted;
     }
 
-    private void abandonRequest(Exchange exchange) {
+    void abandonRequest(Exchange exchange) {
         Pending pending = pendingByExchange.get(exchange);
         if (pending != null && !pending.answered) {
             traceEvent(pending.request, "abandoned: the client has left");
@@ -471,7 +469,7 @@
      * Returns whether a request has no response yet and its client is waiting. Otherwise the request is ended, also if
      * the client's close may lie behind input that cannot be read yet.
      */
-    private boolean isAwaited(Pending pending) {
+    boolean isAwaited(Pending pending) {
         if (!pending.answered) {
             ClientPresence presence = pending.exchange.clientPresence(); // reading may end the request
             if (presence == ClientPresence.LEFT) {
@@ -488,14 +486,14 @@
         refuseOrFail(pending, pending.attemptsSent == 0, "the client's close may lie behind unread input");
     }
 
-    private void passOnResponse(Pending pending) {
+    void passOnResponse(Pending pending) {
         pending.heldResponse = null;
         pending.deadlineTimer.cancel(false);
         pending.exchange.served(pending.streamedResponse);
     }
 
     /** Ends a request of whose response nothing has been passed on, as it would not be complete before the kill. */
-    private void endUnfinishable(Pending pending) {
+    void endUnfinishable(Pending pending) {
         if (!pending.answered && pending.heldResponse != null) {
             logLine("shutdown: response given up, it would not be complete in time, " + pending);
             refuseOrFail(pending, pending.request.isSafe(), "its response would not be complete in time");
@@ -526,7 +524,7 @@
         pending.attempts.forEach(Upstream.Attempt::cancel);
     }
 
-    private void attemptEnded(
+    void attemptEnded(
             Pending pending,
             int attempt,
             long server,
@@ -614,7 +612,7 @@
     }
 
     /** No longer counts a request in the limit of its class. */
-    private void releaseClassLimit(Pending pending) {
+    void releaseClassLimit(Pending pending) {
         if (pending.countsInClassLimit) {
             pending.countsInClassLimit = false;
             classLimits.requestEnded(pending.request.requestClass());
@@ -638,7 +636,7 @@
                             + " us");
         }
         pending.outstandingAttempts++;
-        Upstream.Listener listener = new AttemptListener(pending, attempt, server, sentAt);
+        Upstream.Listener listener = new AttemptListener(this, pending, attempt, server, sentAt);
         pending.attempts.add(pending.upstream.send(server, pending.request.payload(), timeoutMicros, listener));
     }
 
@@ -717,142 +715,11 @@
                         match -> Matcher.quoteReplacement("server " + serverNames.get(Long.valueOf(match.group(1))))));
     }
 
-    /** Follows one attempt of a request. */
-    private final class AttemptListener implements Upstream.Listener {
-        private final Pending pending;
-        private final int attempt;
-        private final long server;
-        private final long sentAtMicros;
-        /** Start of the measured latency; the time of the last byte sent if the body is streamed. */
-        private long latencyStartMicros;
-
-        /** How long the server took until its response started; negative before that. */
-        private long latencyMicros = -1;
-
-        /** Whether the whole request has been sent. */
-        private boolean sent;
-
-        /** Whether the decision module has the outcome, as the response is stalled; it may still be completed. */
-        private boolean outcomeReported;
-
-        AttemptListener(Pending pending, int attempt, long server, long sentAtMicros) {
-            this.pending = pending;
-            this.attempt = attempt;
-            this.server = server;
-            this.sentAtMicros = sentAtMicros;
-            this.latencyStartMicros = sentAtMicros;
-        }
-
-        @Override
-        public void onResult(Upstream.Result result) {
-            boolean served = result.outcome() == Balancer.Outcome.OK && latencyMicros >= 0;
-            if (sent && result.outcome().neverRan()) {
-                pending.attemptsSent--;
-            }
-            attemptEnded(
-                    pending,
-                    attempt,
-                    server,
-                    served ? latencyMicros : now() - latencyStartMicros,
-                    result,
-                    outcomeReported);
-        }
-
-        @Override
-        public boolean isStillWanted() {
-            return isAwaited(pending);
-        }
-
-        @Override
-        public void onRequestSent() {
-            counters.recordAttempt();
-            sent = true;
-            pending.attemptsSent++;
-            if (isTracing()) {
-                traceEvent(pending.request, "attempt " + attempt + " written");
-            }
-            BodyStream upload = pending.request.payload().bodyStream();
-            if (upload != null && !pending.answered) {
-                // The client's time counts from its last byte, the latency from the server's.
-                pending.deadlineTimer.cancel(false);
-                startDeadlineTimer(pending, upload.mayBeSentSinceNanos());
-                latencyStartMicros = now();
-            }
-        }
-
-        @Override
-        public void onRequestStreaming() {
-            pending.deadlineTimer.cancel(false);
-            scheduleUploadCheck(pending, pending.request.payload().bodyStream());
-            reportStreaming();
-        }
-
-        @Override
-        public void onResponseStarted() {
-            // Sending the response body is not counted as the server's work.
-            latencyMicros = now() - latencyStartMicros;
-        }
-
-        @Override
-        public void onResponseStreaming(Payload response) {
-            if (pending.answered || pending.streaming) {
-                pending.attempts.get(attempt).cancel();
-                return;
-            }
-            pending.streaming = true;
-            pending.streamedResponse = response;
-            reportStreaming();
-            if (shutdownResponses.isLate(pending)) {
-                pending.heldResponse = shutdownResponses.hold(
-                        response, () -> passOnResponse(pending), () -> loop.execute(() -> endUnfinishable(pending)));
-            } else {
-                passOnResponse(pending);
-            }
-        }
-
-        /**
-         * The decision module counts a stalled response as one that has timed out, and the limit of its class does not
-         * count it, so that waiting for it costs no other request. Its client waits on, and gets the rest if it comes.
-         */
-        @Override
-        public boolean onResponseStalled() {
-            if (pending.heldResponse != null) {
-                return false; // nothing of it has been passed on, so the client can still be told
-            }
-            if (pending.exchange.clientPresence() == ClientPresence.LEFT) {
-                abandonRequest(pending.exchange);
-                return false;
-            }
-            if (!outcomeReported) {
-                outcomeReported = true;
-                traceEvent(pending.request, "attempt " + attempt + " is stalled in the middle of its response");
-                releaseClassLimit(pending);
-                long elapsedMicros = now() - latencyStartMicros;
-                dispatch(
-                        pending,
-                        () -> balancer.outcome(
-                                now(),
-                                pending.id,
-                                attempt,
-                                server,
-                                Balancer.Outcome.TIMEOUT,
-                                elapsedMicros,
-                                true,
-                                NO_LOAD_REPORT));
-            }
-            return true;
-        }
-
-        private void reportStreaming() {
-            dispatch(pending, () -> balancer.streamStarted(now(), pending.id, attempt, server, now() - sentAtMicros));
-        }
-    }
-
-    private boolean isTracing() {
+    boolean isTracing() {
         return transport.trace().isEnabled();
     }
 
-    private void traceEvent(ClientRequest request, String event) {
+    void traceEvent(ClientRequest request, String event) {
         transport.trace().request(request.id(), event);
     }
 
--- a/src/main/java/gatefront/silence/ServerRecord.java
+++ b/src/main/java/gatefront/silence/ServerRecord.java
@@ -32,7 +32,7 @@
         unfinished = 0;
     }
 
-    /** Notes that the server was active and did not go on with a stalled response for as long as that was waited for. */
+    /** Notes that the server was active and did not go on with a stalled response while that was waited for. */
     public void didNotGoOn(long nowNanos) {
         unfinished = isForgotten(nowNanos) ? 1 : unfinished + 1;
         lastUnfinishedNanos = nowNanos;
--- a/src/test/java/gatefront/agent/SilentServersTest.java
+++ b/src/test/java/gatefront/agent/SilentServersTest.java
@@ -295,7 +295,7 @@
         assertEquals(2, server.requests.size(), "no request of a client that has left is sent");
     }
 
-    /** Guards against an agent that does not end because servers are silent, and against cutting off one that is not. */
+    /** Guards against an agent that does not end because servers are silent, and against responses cut off early. */
     @Test
     void shutdownWaitsForSilentServersNoLongerThanItMay() throws Exception {
         fixture.server((message, socket) -> {
--- a/src/test/java/gatefront/connection/StreamedResponsesTest.java
+++ b/src/test/java/gatefront/connection/StreamedResponsesTest.java
@@ -182,7 +182,7 @@
         assertEquals(List.of("a"), ended);
     }
 
-    /** Guards against taking the full queue of a server that is back after a silence for its shortage of connections. */
+    /** Guards against taking the full queue of a server that is back after a silence for a lack of connections. */
     @Test
     void serverThatTurnsRequestsAwayEndsOnlyResponsesThatStayedSilentWhileItWasActive() {
         ServerRecord record = new ServerRecord();
