ReloadWithinRequestTest: both Thrift replies are read by one reader

Cause: the test's. It made a reader with a buffer of its own for each reply; where both replies have arrived, the first reader takes both from the socket, and the second waits in vain.

Change: one reader reads both replies. What is checked is the same.

--- a/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
+++ b/src/test/java/gatefront/agent/ReloadWithinRequestTest.java
@@ -158,10 +158,14 @@
         return ThriftAgentFixture.message(FORMAT, "order", TMessageType.CALL, seqid, new Args(id, 8_000, key, text));
     }
 
-    private static Result readReply(Socket client) throws Exception {
+    /** Returns a reader of all replies on a connection; it may read more of them ahead than it returns. */
+    private static ThriftTestService.Client replyReader(Socket client) throws Exception {
         return new ThriftTestService.Client(
-                        ThriftAgentFixture.protocol(FORMAT.encoding(), new TFramedTransport(new TSocket(client))))
-                .receive("order");
+                ThriftAgentFixture.protocol(FORMAT.encoding(), new TFramedTransport(new TSocket(client))));
+    }
+
+    private static Result readReply(Socket client) throws Exception {
+        return replyReader(client).receive("order");
     }
 
     /** Guards against an unsafe Thrift call that runs twice because a reload makes its class safe while it arrives. */
@@ -207,8 +211,9 @@
             AgentFixture.await(() -> first.calls.get() + second.calls.get() == 1);
             reload(thrift.agent, thrift.config, settings -> setClass(settings, "order", "semantics", "safe"));
             held.countDown();
-            assertNotNull(readReply(client).failed);
-            assertNotNull(readReply(client).failed);
+            ThriftTestService.Client replies = replyReader(client);
+            assertNotNull(replies.receive("order").failed);
+            assertNotNull(replies.receive("order").failed);
             assertEquals(2, first.calls.get() + second.calls.get());
         }
     }
