Shutdown: an agent that waits for silent servers alone ends before it may be killed

What was seen: in an upgrade, beside a response that hangs, the old process ended later than 3.7 s after SIGTERM, when it may be killed: the wait ended 0.2 s before, and closing the ledger, the state and the loop takes some 0.23 s more (measured: 2.73 s where the kill comes at 2.7 s).

Change: the wait ends 0.35 s before the kill (ShutdownSchedule.stalledResponsesMs).

--- a/src/main/java/gatefront/agent/Agent.java
+++ b/src/main/java/gatefront/agent/Agent.java
@@ -680,6 +680,7 @@
                     stopNanos + TimeUnit.MILLISECONDS.toNanos(schedule.lastBodyMs()));
             loop.schedule(this::drainIfIdle, hasSuccessor ? 0 : IDLE_STOP_DELAY_MS, TimeUnit.MILLISECONDS);
             loop.schedule(this::beginDrain, schedule.closeConnectionsMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(engine::stopWaitingForSilentServers, schedule.stalledResponsesMs(), TimeUnit.MILLISECONDS);
             loop.schedule(engine::failAllPending, schedule.lastResponseMs(), TimeUnit.MILLISECONDS);
         });
     }
--- a/src/main/java/gatefront/engine/Engine.java
+++ b/src/main/java/gatefront/engine/Engine.java
@@ -199,15 +199,16 @@
         shutdownResponses.begin(lateNanos, endNanos);
     }
 
-    /**
-     * Ends all requests in progress of whose response nothing has been passed on, as if their time were up. Silent
-     * servers are no longer waited for.
-     */
+    /** From now on, servers that are silent in the middle of a response are no longer waited for. */
+    public void stopWaitingForSilentServers() {
+        upstreams.forEach(Upstream::stopWaitingForSilentServers);
+    }
+
+    /** Ends all requests in progress of whose response nothing has been passed on, as if their time were up. */
     public void failAllPending() {
         List<Pending> waiting = new ArrayList<>(pendingById.values());
         waiting.removeIf(pending -> pending.streaming && pending.heldResponse == null);
         waiting.forEach(this::deadlinePassed);
-        upstreams.forEach(Upstream::stopWaitingForSilentServers);
     }
 
     // ---- Events ----
--- a/src/main/java/gatefront/shutdown/ShutdownSchedule.java
+++ b/src/main/java/gatefront/shutdown/ShutdownSchedule.java
@@ -21,6 +21,11 @@
     private static final long MAX_SERVE_AFTER_STOP_MS = 2_000;
     /** Time between the end of the last body of a response and the moment when the agent is killed, in milliseconds. */
     private static final long BODY_MARGIN_MS = 50;
+    /**
+     * Time between the end of stalled responses and the last responses, in milliseconds: an agent that has waited for
+     * nothing else ends in order before it is killed.
+     */
+    private static final long STALLED_RESPONSE_MARGIN_MS = 150;
     /** How much later than it was sent the signal to end may be handled, in milliseconds. */
     private static final long SIGNAL_DELAY_MS = 50;
 
@@ -34,4 +39,9 @@
                 lastResponseMs,
                 killMs - BODY_MARGIN_MS);
     }
+
+    /** Returns when servers that are silent in the middle of a response are no longer waited for. */
+    public long stalledResponsesMs() {
+        return lastResponseMs - STALLED_RESPONSE_MARGIN_MS;
+    }
 }
--- a/src/test/java/gatefront/shutdown/ShutdownScheduleTest.java
+++ b/src/test/java/gatefront/shutdown/ShutdownScheduleTest.java
@@ -16,6 +16,8 @@
         long killMs = Math.min(3_000, longestDeadlineMs) + 700;
         assertTrue(schedule.closeConnectionsMs() < schedule.lastResponseMs(), schedule.toString());
         assertTrue(schedule.lastResponseMs() < killMs && schedule.lastBodyMs() < killMs, schedule.toString());
+        assertTrue(schedule.closeConnectionsMs() < schedule.stalledResponsesMs(), schedule.toString());
+        assertTrue(schedule.stalledResponsesMs() < schedule.lastResponseMs(), schedule.toString());
         assertTrue(schedule.lateRequestsMs() < 700, "what comes later than 0.7 s after the signal has to be complete");
     }
 
